Count a cold server's budget in hinted work, which a jam does not multiply

Cause: Balancer.cold_cost_us took the mean of the near-minimum and the smoothed latency as the work of a request. In the jam the smoothed one was 800 ms for work of some 40 ms, so one request used up a gateway's part of the budget for over a minute, and the servers that could end the jam were left idle, unwarmed.

Checked: discovery named all of them within 2.5 s of their start, and they made up a third of each subset, so neither list nor subset kept them out.

The hint is the work the rule counts. Without one, no usual reply counts as longer than a slow one. It mends the defect in its own right.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -194,6 +194,7 @@
     deadline_us: int
     aim_us: int  # absolute
     size: float  # expected latency over the class's usual one
+    work_us: int | None  # as hinted
     first_try: bool
     over: bool  # beyond its tenant's share
     line: Line | None = None
@@ -313,7 +314,7 @@
                 self.served = [n / 2 for n in self.served]
         return Request(
             event.request, event.klass, self.kind(event), event.key, self.now_us + event.patience_us,
-            self.now_us + max(0, klass.aim_us - used_us), size, first_try, over,
+            self.now_us + max(0, klass.aim_us - used_us), size, event.work_us, first_try, over,
         )
 
     def is_over(self, event: RequestArrived, first_try: bool) -> bool:
@@ -804,8 +805,15 @@
         return FALL_MARGIN * self.settings.fall_multiple * self.settings.fall_us / users
 
     def cold_cost_us(self, request: Request) -> float:
-        """Work of a request: above the fastest replies, below the usual ones, which have waited too."""
-        return (self.unhindered[request.klass] + self.smoothed[request.klass]) / 2 * request.size
+        """Work of a request: the hint, or else between the fastest replies and the usual, which waited too.
+
+        Guards against a jam that makes each request seem as long as its wait: the servers that start, and
+        could end the jam, were then left idle. So no usual reply counts as longer than a slow one.
+        """
+        if request.work_us:
+            return float(request.work_us)
+        fastest_us = self.unhindered[request.klass]
+        return (fastest_us + min(self.smoothed[request.klass], SLOW * fastest_us)) / 2 * request.size
 
     def cold_share(self, server: Server) -> float:
         """Share of its capacity that a server surely has by now."""
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -28,7 +28,17 @@
     TimerFired,
     WatchList,
 )
-from rosedeal.choice import COOLDOWN_US, LOG_GAP_US, OVERDUE, RING, SHED_STEP, SUBSET, State, rendezvous
+from rosedeal.choice import (
+    COOLDOWN_US,
+    LOG_GAP_US,
+    OVERDUE,
+    RING,
+    SHED_STEP,
+    SUBSET,
+    Breaker,
+    State,
+    rendezvous,
+)
 
 
 def test_an_unsafe_request_that_may_have_run_fails_at_once() -> None:
@@ -397,6 +407,27 @@
     assert sum(work_us) > 0
 
 
+def test_a_jam_does_not_make_a_cold_servers_work_seem_longer() -> None:
+    """While the warm servers were jammed, the cost counted for each request grew, and cold ones got none."""
+    sent = []
+    for hint in (None, 10_000):
+        for jammed in (False, True):
+            driver = Driver(replace(COLD, proxies=2), servers=0)
+            driver.list_servers(ListedServer(1, started_us=driver.now_us))
+            driver.balancer.unhindered = [10_000.0] * 3
+            driver.balancer.smoothed = [500_000.0 if jammed else 20_000.0] * 3
+            count = 0
+            for _ in range(200):
+                name, actions = driver.arrive(**({"work_us": hint} if hint else {}))
+                if sends(actions):
+                    count += 1
+                    driver.end(name, 1, Outcome.ERROR if jammed else Outcome.OK)
+                    driver.balancer.servers[1].breakers = [Breaker() for _ in range(4)]
+                driver.now_us += 10_000
+            sent.append(count)
+    assert sent[1] >= sent[0] * 0.9 and sent[3] >= sent[2] * 0.9
+
+
 def test_a_cold_server_beyond_the_reach_is_not_used() -> None:
     """When many step aside from failing servers, all would meet on the same cold one."""
     driver = Driver(replace(COLD, proxies=300), servers=60)
