Draw by the queues and service times that servers report, not by own attempts alone

Cause: Balancer.draw_weight knows of load only what this gateway has out. A gateway of 40 has a tenth to a half of a request out at a server, so a draw by 1/(1+out)^2 was an even one, over machines whose speeds differ by three; the slow ones got more than they can do. Two or three gateways do not show it. Nor does a reply over twice the smoothed latency: it comes after the crowd, and 2 answers a second and server move a weight too late.

Ruled out: the network code (0.9 ms to the first attempt), discovery (lists came within 1 s of a change), connections (none refused by a full table; 11 to 35 open a gateway).

Each answer already carries the server's queue, of all gateways, and its service time without waiting. Both now count in the draw.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -44,6 +44,9 @@
 FEW = 5  # answers: the first move the unhindered latency down by up to a sixth of the way, later ones less
 UNHINDERED_UP = 0.0005  # relative rise with each longer one: a jam must not pass for the usual within seconds
 AWAY = 80.0  # how hard the price of crossing zones lowers the weight of servers in other zones
+REPORT_HALF_US = 1_000_000  # after which a reported queue counts half
+SPEEDS = 4.0  # most that reported service times raise or lower a weight by
+REPORTED = 0.3  # share of the newest report in a server's smoothed service time
 # Keys that warm a server
 HOME_FAVOUR = 20.0  # factor on the weight of a key's home: most of its requests, not all
 HASH_FACTOR, HASH_MASK = 0x9E3779B97F4A7C15, 2**64 - 1  # golden ratio in 64 bits: spreads close numbers apart
@@ -162,6 +165,9 @@
     out: dict[Attempt, int] = field(default_factory=dict)  # attempts and when they were sent, oldest first
     heard_us: int = 0  # when it last answered
     recent: deque[tuple[int, bool]] = field(default_factory=partial(deque, maxlen=2 * RING))  # kind, failed
+    queue: float = 0.0  # requests of all proxies that wait there, as it last reported
+    queue_at_us: int = 0
+    service_ms: float = 0.0  # smoothed service time by its reports; 0: not known
     spent_us: float = 0.0  # cold only: work sent and not yet paid off
     spent_at_us: int = 0
 
@@ -256,6 +262,7 @@
         self.asked = [0.0] * len(classes)  # within the tenants' shares
         self.beyond = [0.0] * len(classes)  # the same beyond them
         self.served = [0.0] * len(classes)
+        self.service_ms = 0.0  # smoothed service time by the reports of all servers
         self.shed_at_us = 0  # when that last followed an answer
         self.shed = 0.0  # share of the work asked for that is refused, least worth first
         self.logged_us = -LOG_GAP_US
@@ -593,6 +600,7 @@
             self.set_timer(request.line.rest_until_us, partial(self.pass_turn, request.line))
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
             attempt.server.heard_us = self.now_us
+        self.heed_report(attempt.server, event.load)
         self.judge(request, attempt, event)
         if request.done:
             if request.out == 0:
@@ -691,9 +699,32 @@
         """A server's weight in the draw; 0 for one that is not eligible."""
         if not self.cold_room(server, request):
             return 0.0
-        free = 1.0 / (1.0 + len(server.out)) ** 2
+        free = 1.0 / (1.0 + len(server.out) + self.waiting(server)) ** 2
         share = self.cold_share(server)  # slow start
-        return server.entry.weight * server.weight * free * self.nearness(server.entry) * share
+        known = server.entry.weight * self.speed(server) * self.nearness(server.entry) * share
+        return known * server.weight * free
+
+    def waiting(self, server: Server) -> float:
+        """What waits there by the last report, less as that grows old: news come only with answers."""
+        return server.queue * 0.5 ** ((self.now_us - server.queue_at_us) / REPORT_HALF_US)
+
+    def speed(self, server: Server) -> float:
+        """How fast it serves against the usual, as the reports tell; 1 where they do not."""
+        if not server.service_ms or not self.service_ms:
+            return 1.0
+        return min(SPEEDS, max(1.0 / SPEEDS, self.service_ms / server.service_ms))
+
+    def heed_report(self, server: Server, load: tuple[tuple[str, float], ...]) -> None:
+        """Load reports tell what other proxies have sent there, of which each meets a server seldom.
+
+        Guards against many proxies that each see a server with nothing of their own out, and crowd it.
+        """
+        for name, value in load:
+            if name == "queue" and value >= 0.0:
+                server.queue, server.queue_at_us = value, self.now_us
+            elif name == "latency_ms" and value > 0.0:
+                server.service_ms += (REPORTED if server.service_ms else 1.0) * (value - server.service_ms)
+                self.service_ms += (SMOOTHING if self.service_ms else 1.0) * (value - self.service_ms)
 
     def nearness(self, entry: ListedServer) -> float:
         """1 in this proxy's zone, less in others the more a crossing costs."""
--- a/rosedeal/interface.py
+++ b/rosedeal/interface.py
@@ -132,7 +132,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Reports:
-    """Load reports of the servers. No decision uses them yet."""
+    """Load reports of the servers. Decisions use those that come with answers, whatever is said here."""
 
     mode: ReportMode = ReportMode.NONE
     fields: tuple[str, ...] = ()  # names of the values
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -445,6 +445,34 @@
     assert sends(driver.arrive(klass=1)[1])[0].timeout_us > SAFE.aim_us
 
 
+@pytest.mark.parametrize("crowded", [("queue", 4.0), ("latency_ms", 80.0)])
+def test_a_server_that_reports_a_crowd_or_slow_service_gets_less(crowded: tuple[str, float]) -> None:
+    """Forty proxies had less than one request out at each server and saw nothing of the rest."""
+    driver = Driver()
+    counts = [0, 0, 0]
+    for _ in range(600):
+        name, actions = driver.arrive()
+        server = sends(actions)[0].server
+        counts[server] += 1
+        load = {"queue": 0.0, "latency_ms": 20.0} | (dict([crowded]) if server == 0 else {})
+        driver.end(name, server, load=tuple(load.items()))
+        driver.now_us += 10_000
+    assert counts[0] < 0.4 * min(counts[1:])
+
+
+def test_a_reported_queue_counts_less_as_it_grows_old() -> None:
+    """A server that is sent nothing has no way to report that its queue is gone."""
+    driver = Driver()
+    driver.balancer.heed_report(driver.balancer.servers[0], (("queue", 50.0),))
+    driver.now_us += 20_000_000
+    drawn = set()
+    for _ in range(60):
+        name, actions = driver.arrive()
+        drawn.add(sends(actions)[0].server)
+        driver.end(name, sends(actions)[0].server)
+    assert drawn == {0, 1, 2}
+
+
 def test_long_waits_shed_the_least_worth_first_and_prompt_answers_end_it() -> None:
     cheap = replace(SAFE, worth=1.0)
     dear = replace(SAFE, worth=10.0)
