--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -706,7 +706,7 @@
 
     def waiting(self, server: Server) -> float:
         """What waits there by the last report, less as that grows old: news come only with answers."""
-        return server.queue * 0.5 ** ((self.now_us - server.queue_at_us) / REPORT_HALF_US)
+        return server.queue * math.exp2((server.queue_at_us - self.now_us) / REPORT_HALF_US)
 
     def speed(self, server: Server) -> float:
         """How fast it serves against the usual, as the reports tell; 1 where they do not."""
