Let prompt answers end shedding as fast as long ones raise it where answers are few

Cause: Balancer.step_shed raised the share by the time since the last answer, up to 0.2, and lowered it by 0.1. A gateway of 40 that sheds 0.95 has an answer a second; with a third of its answers long it never came down. Among two or three gateways answers are dense and both steps are 0.1.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -414,10 +414,11 @@
             self.step_shed(long)
 
     def step_shed(self, long: bool) -> None:
-        # Up by the time since the last answer: with few of them a jam must be noticed as soon as with many.
+        # By the time since the last answer: with few a jam must be noticed as soon as with many, and so
+        # must its end, or a proxy that sheds nearly all keeps doing so for want of answers.
         step = max(SHED_STEP, SHED_RATE * min(self.now_us - self.shed_at_us, SHED_LONGEST_US) / 1e6)
         self.shed_at_us = self.now_us
-        self.shed = min(SHED_MOST, max(0.0, self.shed + (step if long else -SHED_STEP)))
+        self.shed = min(SHED_MOST, max(0.0, self.shed + (step if long else -step)))
 
     def expected_us(self, request: Request) -> float:
         return self.smoothed[request.klass] * request.size
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -473,6 +473,18 @@
     assert drawn == {0, 1, 2}
 
 
+def test_rare_answers_end_shedding_as_fast_as_they_raise_it() -> None:
+    """A proxy that shed nearly all had an answer a second, and one long one undid two prompt ones."""
+    driver = Driver()
+    shed = []
+    for long in (True, False):
+        driver.balancer.shed = 0.5
+        driver.now_us += 400_000
+        driver.balancer.step_shed(long)
+        shed.append(driver.balancer.shed)
+    assert shed[0] - 0.5 == pytest.approx(0.5 - shed[1]) and shed[0] > 0.5 + SHED_STEP
+
+
 def test_long_waits_shed_the_least_worth_first_and_prompt_answers_end_it() -> None:
     cheap = replace(SAFE, worth=1.0)
     dear = replace(SAFE, worth=10.0)
