--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -478,8 +478,7 @@
     driver = Driver()
     shed = []
     for long in (True, False):
-        driver.balancer.shed = 0.5
-        driver.now_us += 400_000
+        driver.balancer.shed, driver.balancer.shed_at_us = 0.5, driver.balancer.now_us - 400_000
         driver.balancer.step_shed(long)
         shed.append(driver.balancer.shed)
     assert shed[0] - 0.5 == pytest.approx(0.5 - shed[1]) and shed[0] > 0.5 + SHED_STEP
