Shed by what is out beyond a limit, not by an integral of past verdicts

It also rose too late: 13 requests a server were out, enough to slow them by choking, when the share was at 0.17.

Cause: step_shed integrated a tenth per answer. Answers to what was sent before a step kept raising it, all gateways did the same about the same servers, and with one answer a second left it came down in ten.

Now each gateway has a limit on what it has out: long answers lower it, prompt ones raise it where it binds, and the more is out beyond it, the more is shed, still the least worth first. It acts on the first requests that do not come back and ends when they do. The judgement of what is long is unchanged. SHED_RATE, SHED_LONGEST_US and the exception for a proxy with nothing else out are needless and gone.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -58,10 +58,11 @@
 AIM_SHARE = 0.98  # of the time to the aim that is waited for an answer that is worth nothing later
 # Shedding
 TOLERATED = 0.25  # share of the slack under the tightest aim that an answer may have waited
-SHED_STEP = 0.1  # of the work asked for, shed more or less after one answer
+LIMIT_FIRST = 6.0  # requests out before anything is known: many restarted proxies must not add up to a jam
+LIMIT_STEP = 0.2  # added to the limit by a prompt answer once a long one has come, before that one each
+LIMIT_CUT = 0.4  # taken off by a long one: it holds where a third are long
+SHED_STEP = 0.1  # of the work asked for, shed more or less after one list with live weights
 HELD_PER_CORE = 1.0  # requests held by a core of the fleet, as live weights tell, beyond which more is shed
-SHED_RATE = 0.4  # the same for each second since the last answer, where that makes it more
-SHED_LONGEST_US = 500_000  # one answer speaks for no longer: a single long one on a quiet day is chance
 SHED_MOST = 0.95  # what still comes through tells when to shed less
 QUOTA_SPAN_S = 1.0  # of a tenant's quota that may come at once and still be within its share
 MEMORY = 500  # first tries after which the shares of asked and served work count half
@@ -263,8 +264,9 @@
         self.beyond = [0.0] * len(classes)  # the same beyond them
         self.served = [0.0] * len(classes)
         self.service_ms = 0.0  # smoothed service time by the reports of all servers
-        self.shed_at_us = 0  # when that last followed an answer
-        self.shed = 0.0  # share of the work asked for that is refused, least worth first
+        self.limit = LIMIT_FIRST  # requests out beyond which load is shed
+        self.strained = False  # a long answer has come since the start
+        self.told = 0.0  # share to shed as live weights tell
         self.logged_us = -LOG_GAP_US
 
     def handle(self, now_us: int, event: Event) -> list[Action]:
@@ -360,7 +362,7 @@
 
         Guards against queues that grow past every aim when more is asked for than can be served: then what
         gains the goal least for its work goes first. Nothing while no server is closed: half-open ones need
-        trials, and without an answer it would never learn to shed less.
+        trials, and without an answer nothing would change.
         """
         if self.now_us >= self.end_us(request):
             return True  # too late to earn anything
@@ -394,8 +396,8 @@
             worths.append(gain)
         return worths + beyond
 
-    def adjust_shed(self, request: Request, event: AttemptEnded) -> None:
-        """Feedback like the weights': more after an answer that waited too long, less after a prompt one."""
+    def adjust_limit(self, request: Request, event: AttemptEnded) -> None:
+        """Feedback like the weights': down after an answer that waited too long, up after a prompt one."""
         classes = self.settings.classes
         if event.outcome not in (Outcome.OK, Outcome.TIMEOUT):
             return
@@ -406,19 +408,28 @@
         tolerated = slack * (TOLERATED + (1.0 - TOLERATED) * classes[request.klass].late_worth)
         tolerated = max(tolerated, (SLOW - 1.0) * self.unhindered[request.klass] * request.size)
         long = waited > tolerated
-        if event.outcome is Outcome.OK and self.shed > 0.0 and self.out == 0:
-            # Nothing else is out: no queue of this proxy's making. The dearest requests, which are all that
-            # still comes through, would keep shedding up by their usual scatter while the servers are idle.
-            long = event.latency_us > classes[request.klass].aim_us
         if event.outcome is Outcome.OK or long:
-            self.step_shed(long)
+            self.step_limit(long)
 
-    def step_shed(self, long: bool) -> None:
-        # By the time since the last answer: with few a jam must be noticed as soon as with many, and so
-        # must its end, or a proxy that sheds nearly all keeps doing so for want of answers.
-        step = max(SHED_STEP, SHED_RATE * min(self.now_us - self.shed_at_us, SHED_LONGEST_US) / 1e6)
-        self.shed_at_us = self.now_us
-        self.shed = min(SHED_MOST, max(0.0, self.shed + (step if long else -step)))
+    def step_limit(self, long: bool) -> None:
+        """Lower the limit on what is out after a long answer; raise it after a prompt one where it binds.
+
+        Guards against overshooting: what was sent before a step still takes long after it, but all that is
+        under way together lowers the limit by less than half.
+        """
+        if long:
+            self.limit = max(1.0, min(self.limit, 2.0 * (self.out + 1)) - LIMIT_CUT)
+            self.strained = True
+        elif self.out + 1 >= self.limit / 2:
+            self.limit += LIMIT_STEP if self.strained else 1.0
+
+    @property
+    def shed(self) -> float:
+        """Share of the work asked for that is refused, least worth first: the more is out beyond the limit.
+
+        It follows what is out and not a verdict on the past, so it ends as soon as the servers have answered.
+        """
+        return min(SHED_MOST, max(0.0, self.told, self.out / self.limit - 1.0))
 
     def expected_us(self, request: Request) -> float:
         return self.smoothed[request.klass] * request.size
@@ -439,13 +450,14 @@
     def retry_after_us(self, request: Request) -> int:
         """The shortest cooldown left where every server is open to it, or the time until shedding may end.
 
-        That is when as many prompt answers may have come as bring it down to nothing.
+        That is when what is out beyond the limit may have been answered.
         """
         cooldowns = []
         for server in self.servers.values():
             opened = [b.open_until_us for b in judges(server, request.kind) if b.state is State.OPEN]
             cooldowns.append(max(opened, default=self.now_us) - self.now_us)
-        shed_us = self.shed / SHED_STEP * max(self.smoothed) / max(1, self.out)
+        answers = max(self.out - self.limit, self.told / SHED_STEP)
+        shed_us = answers * max(self.smoothed) / max(1, self.out)
         return max(0, min(max(min(cooldowns, default=0), int(shed_us)), self.settings.max_retry_after_us))
 
     def finish(self, request: Request) -> None:
@@ -476,7 +488,7 @@
                 # time-out. Many impatient clients would otherwise hide a jam that they make.
                 least_us = self.unhindered[request.klass] * request.size
                 if not attempt.ended and self.now_us - attempt.sent_us > least_us:
-                    self.step_shed(True)
+                    self.step_limit(True)
             self.finish(request)
 
     def on_stream(self, event: StreamStarted) -> None:
@@ -761,7 +773,7 @@
         own = failed and self.is_own(server, request)
         if server.breakers[0].state is State.CLOSED and not own:  # else it keeps the weight it had
             self.adjust_weight(server, failed or ratio > SLOW)
-        self.adjust_shed(request, event)
+        self.adjust_limit(request, event)
         for place, trial_of in zip((0, request.kind + 1), attempt.trials_of, strict=True):
             breaker = server.breakers[place]
             common = self.common_share(server, place) if failed else 0.0
@@ -887,7 +899,7 @@
         """
         held = sum(self.sizes[s.entry.kind] / max(FLOOR, s.entry.weight) - 1.0 for s in self.servers.values())
         over = held / len(self.servers) / HELD_PER_CORE - 1.0
-        self.shed = min(SHED_MOST, max(0.0, self.shed + SHED_STEP * min(2.0, over)))
+        self.told = min(SHED_MOST, max(0.0, self.told + SHED_STEP * min(2.0, over)))
 
     def ask_for_list(self) -> None:
         """Subscribe; asked again while no answer has come, well within the time the rules give."""
