Draw less from servers that report errors, of which one gateway sees too few itself

At 14 s they still got 13 to 33 a second each, more than the mean, and made 96 to 126 errors a second of 930 sends. Their controller weights stood at 0.4 to 0.7.

Cause: a gateway of 40 meets such a server less than once a second, so the ring's minimum and the weight's cuts need 5 s and more, in each gateway anew; meanwhile quick errors keep the server's reported queue and service time low, and the draw took it for a fast one (heed_report, draw_weight).

Ruled out: breakers that fail to open (they open, a gateway after the other), errors of one class or tenant (all kinds fail alike).

The same answers carry the errors a second of all gateways. They now lower the weight against what a server usually gets, so that the few errors of a sound server cost it little, on a small fleet too.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -44,7 +44,8 @@
 FEW = 5  # answers: the first move the unhindered latency down by up to a sixth of the way, later ones less
 UNHINDERED_UP = 0.0005  # relative rise with each longer one: a jam must not pass for the usual within seconds
 AWAY = 80.0  # how hard the price of crossing zones lowers the weight of servers in other zones
-REPORT_HALF_US = 1_000_000  # after which a reported queue counts half
+REPORT_HALF_US = 1_000_000  # after which a reported queue or rate of errors counts half
+FAILING = 0.1  # share of the usual requests that fail by a report: it weighs like one request out
 SPEEDS = 4.0  # most that reported service times raise or lower a weight by
 REPORTED = 0.3  # share of the newest report in a server's smoothed service time
 # Keys that warm a server
@@ -167,7 +168,8 @@
     heard_us: int = 0  # when it last answered
     recent: deque[tuple[int, bool]] = field(default_factory=partial(deque, maxlen=2 * RING))  # kind, failed
     queue: float = 0.0  # requests of all proxies that wait there, as it last reported
-    queue_at_us: int = 0
+    failing: float = 0.0  # errors a second to all proxies, as it last reported
+    reported_us: int = 0  # when that was
     service_ms: float = 0.0  # smoothed service time by its reports; 0: not known
     spent_us: float = 0.0  # cold only: work sent and not yet paid off
     spent_at_us: int = 0
@@ -264,6 +266,8 @@
         self.beyond = [0.0] * len(classes)  # the same beyond them
         self.served = [0.0] * len(classes)
         self.service_ms = 0.0  # smoothed service time by the reports of all servers
+        self.gap_us = 0.0  # smoothed time between two requests
+        self.arrived_us = 0  # when the last one came
         self.limit = LIMIT_FIRST  # requests out beyond which load is shed
         self.strained = False  # a long answer has come since the start
         self.told = 0.0  # share to shed as live weights tell
@@ -301,6 +305,9 @@
             return
         request = self.admit(event)
         self.requests[request.id] = request
+        if self.arrived_us:
+            self.gap_us += SMOOTHING * (self.now_us - self.arrived_us - self.gap_us)
+        self.arrived_us = self.now_us
         if self.is_shed(request) or not (self.await_turn(request) or self.try_send(request)):
             self.answer_unserved(request)
 
@@ -712,14 +719,16 @@
         """A server's weight in the draw; 0 for one that is not eligible."""
         if not self.cold_room(server, request):
             return 0.0
-        free = 1.0 / (1.0 + len(server.out) + self.waiting(server)) ** 2
+        age = math.exp2((server.reported_us - self.now_us) / REPORT_HALF_US)  # news come only with answers
+        free = 1.0 / (1.0 + len(server.out) + server.queue * age) ** 2
+        free /= (1.0 + server.failing * age * self.usual_gap_s() / FAILING) ** 2
         share = self.cold_share(server)  # slow start
         known = server.entry.weight * self.speed(server) * self.nearness(server.entry) * share
         return known * server.weight * free
 
-    def waiting(self, server: Server) -> float:
-        """What waits there by the last report, less as that grows old: news come only with answers."""
-        return server.queue * math.exp2((server.queue_at_us - self.now_us) / REPORT_HALF_US)
+    def usual_gap_s(self) -> float:
+        """Time between two requests of all proxies at one server, if all servers and proxies were alike."""
+        return self.gap_us / 1e6 * len(self.servers) / self.settings.proxies
 
     def speed(self, server: Server) -> float:
         """How fast it serves against the usual, as the reports tell; 1 where they do not."""
@@ -734,7 +743,9 @@
         """
         for name, value in load:
             if name == "queue" and value >= 0.0:
-                server.queue, server.queue_at_us = value, self.now_us
+                server.queue, server.reported_us = value, self.now_us
+            elif name == "eps" and value >= 0.0:
+                server.failing, server.reported_us = value, self.now_us
             elif name == "latency_ms" and value > 0.0:
                 server.service_ms += (REPORTED if server.service_ms else 1.0) * (value - server.service_ms)
                 self.service_ms += (SMOOTHING if self.service_ms else 1.0) * (value - self.service_ms)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -445,8 +445,8 @@
     assert sends(driver.arrive(klass=1)[1])[0].timeout_us > SAFE.aim_us
 
 
-@pytest.mark.parametrize("crowded", [("queue", 4.0), ("latency_ms", 80.0)])
-def test_a_server_that_reports_a_crowd_or_slow_service_gets_less(crowded: tuple[str, float]) -> None:
+@pytest.mark.parametrize("crowded", [("queue", 4.0), ("latency_ms", 80.0), ("eps", 20.0)])
+def test_a_server_that_reports_a_crowd_slow_service_or_errors_gets_less(crowded: tuple[str, float]) -> None:
     """Forty proxies had less than one request out at each server and saw nothing of the rest."""
     driver = Driver()
     counts = [0, 0, 0]
@@ -460,6 +460,18 @@
     assert counts[0] < 0.4 * min(counts[1:])
 
 
+def test_a_usual_few_errors_reported_cost_a_server_little() -> None:
+    driver = Driver()
+    counts = [0, 0, 0]
+    for _ in range(600):
+        name, actions = driver.arrive()
+        server = sends(actions)[0].server
+        counts[server] += 1
+        driver.end(name, server, load=(("eps", 0.3 if server == 0 else 0.0),))  # of 33 a second
+        driver.now_us += 10_000
+    assert counts[0] > 0.6 * min(counts[1:])
+
+
 def test_a_reported_queue_counts_less_as_it_grows_old() -> None:
     """A server that is sent nothing has no way to report that its queue is gone."""
     driver = Driver()
