--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -500,6 +500,16 @@
         driver.end(name, sends(actions)[0].server, latency_us=290_000)
 
 
+def test_a_few_prompt_answers_raise_a_low_limit() -> None:
+    """At one request out it took five answers to let a second go, at three answers a second."""
+    driver = Driver(servers=8)
+    driver.balancer.strained, driver.balancer.limit = True, 1.0
+    for _ in range(3):
+        name, actions = driver.arrive()
+        driver.end(name, sends(actions)[0].server, latency_us=5_000)
+    assert driver.balancer.limit >= 2.0
+
+
 def test_long_answers_under_way_together_lower_the_limit_by_less_than_half() -> None:
     """What was sent before shedding began still took long, and drove it from a tenth to nearly all."""
     driver = Driver(servers=8)
