Let the limit on what is out hold where a fifth of the answers are long, not a third

Those are choked, serve a third for seconds, and make up a jam that shedding then has to end.

Cause: the ratio of cut to step in step_limit. Answers are long where their server is crowded, so a third long over all of them means that a good part of the servers is far beyond that already. Two or three gateways see the same and spread what is out by the count of their own.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -61,7 +61,7 @@
 TOLERATED = 0.25  # share of the slack under the tightest aim that an answer may have waited
 LIMIT_FIRST = 6.0  # requests out before anything is known: many restarted proxies must not add up to a jam
 LIMIT_STEP = 0.2  # added to the limit by a prompt answer once a long one has come, before that one each
-LIMIT_CUT = 2.0  # times the step, taken off by a long one: it holds where a third are long
+LIMIT_CUT = 4.0  # times the step, taken off by a long one: it holds where a fifth are long
 SHED_STEP = 0.1  # of the work asked for, shed more or less after one list with live weights
 HELD_PER_CORE = 1.0  # requests held by a core of the fleet, as live weights tell, beyond which more is shed
 SHED_MOST = 0.95  # what still comes through tells when to shed less
@@ -422,7 +422,7 @@
         """Lower the limit on what is out after a long answer; raise it after a prompt one where it binds.
 
         Guards against overshooting: what was sent before a step still takes long after it, but all that is
-        under way together lowers the limit by less than half. A low limit lets few answers come, so that each
+        under way together lowers the limit by a part. A low limit lets few answers come, so that each
         counts for more.
         """
         step = max(LIMIT_STEP, 1.0 / self.limit)
