Count a full refusal by a server where work waits as a long answer for the limit

adjust_limit left full refusals out. They come at once, so what is out stayed at 2 to 5 under a limit of 3 to 4, nothing was shed, and common_share kept the breakers closed because all servers refused.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -406,6 +406,10 @@
     def adjust_limit(self, request: Request, event: AttemptEnded) -> None:
         """Feedback like the weights': down after an answer that waited too long, up after a prompt one."""
         classes = self.settings.classes
+        if event.outcome is Outcome.FULL and dict(event.load).get("queue", 0.0) >= 1.0:
+            # Work waits there: a crowd, not a limit on one class or tenant. It comes at once, so that what is
+            # out stays low and nothing else would ever shed.
+            self.step_limit(True)
         if event.outcome not in (Outcome.OK, Outcome.TIMEOUT):
             return
         # A time-out tells no more than that the answer would have come later.
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -623,6 +623,15 @@
     assert driver.balancer.limit == LIMIT_FIRST
 
 
+@pytest.mark.parametrize(("queue", "sheds"), [(3.0, True), (0.0, False)])
+def test_full_refusals_by_servers_where_work_waits_lower_the_limit(queue: float, sheds: bool) -> None:
+    """Full servers answer at once: what was out stayed low, and each request was sent on to four of them."""
+    driver = Driver(servers=8)
+    name, actions = driver.arrive()
+    driver.end(name, sends(actions)[0].server, Outcome.FULL, load=(("queue", queue),))
+    assert (driver.balancer.limit < LIMIT_FIRST) == sheds
+
+
 def test_a_new_proxy_soon_learns_how_fast_the_servers_are() -> None:
     """Restarted proxies took a jam for the usual: the unhindered latency began high and sank slowly."""
     driver = Driver(servers=1)
