Refuse on arrival what is given less time than the shortest answers of its class take

is_shed asked only whether the time was over. What is given less than the near-least that answers of its class have taken cannot be served; servers worked on it all the same, and what they run goes on.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -64,6 +64,7 @@
 LIMIT_CUT = 3.0  # times the step, taken off by a long one: it holds where a quarter are long
 SHED_STEP = 0.1  # of the work asked for, shed more or less after one list with live weights
 HELD_PER_CORE = 1.0  # requests held by a core of the fleet, as live weights tell, beyond which more is shed
+HURRIED_TRIALS = 0.02  # share of the requests given too little time that is sent all the same
 SHED_MOST = 0.95  # what still comes through tells when to shed less
 QUOTA_SPAN_S = 1.0  # of a tenant's quota that may come at once and still be within its share
 MEMORY = 500  # first tries after which the shares of asked and served work count half
@@ -371,8 +372,8 @@
         gains the goal least for its work goes first. Nothing while no server is closed: half-open ones need
         trials, and without an answer nothing would change.
         """
-        if self.now_us >= self.end_us(request):
-            return True  # too late to earn anything
+        if self.is_hopeless(request):
+            return True
         closed = any(s.breakers[0].state is State.CLOSED for s in self.servers.values())
         if self.shed <= 0.0 or not closed:
             return False
@@ -386,6 +387,19 @@
         point = below + shares[grade] / total * self.random.random()
         return point < self.shed
 
+    def is_hopeless(self, request: Request) -> bool:
+        """Whether the time given is over, or less than any answer of its class has taken.
+
+        Guards against clients in a hurry that ask again and again: servers worked on what nobody waited for,
+        until nothing else was in time either. A few are let through, as answers may become shorter.
+        """
+        left_us = self.end_us(request) - self.now_us
+        if left_us <= 0:
+            return True
+        known = self.answers[request.klass] >= FEW
+        short = left_us < self.unhindered[request.klass] * request.size
+        return known and short and self.random.random() >= HURRIED_TRIALS
+
     def worths(self) -> list[float]:
         """What the goal gains from each unit of server time, by class, within and beyond the share."""
         goal, classes = self.settings.goal, self.settings.classes
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -632,6 +632,29 @@
     assert (driver.balancer.limit < LIMIT_FIRST) == sheds
 
 
+def test_what_is_given_less_time_than_any_answer_takes_is_refused_on_arrival() -> None:
+    """Clients that gave 33 to 63 ms, asked again and again, and servers worked for nobody."""
+    driver = Driver(servers=1)
+    name, actions = driver.arrive(patience_us=40_000)
+    assert sends(actions)  # nothing is known yet
+    driver.end(name, 0, Outcome.TIMEOUT, latency_us=40_000)
+    driver.handle(RequestGone(name))
+    for _ in range(60):
+        name, _ = driver.arrive()
+        driver.end(name, 0, latency_us=60_000)
+    sent = {}
+    for patience_us in (40_000, 90_000):
+        sent[patience_us] = 0
+        for _ in range(200):
+            name, actions = driver.arrive(patience_us=patience_us)
+            sent[patience_us] += len(sends(actions))
+            if sends(actions):
+                driver.end(name, 0, Outcome.TIMEOUT, latency_us=patience_us)
+                driver.handle(RequestGone(name))
+    assert 0 < sent[40_000] < 20  # a few all the same, as answers may have become shorter
+    assert sent[90_000] == 200
+
+
 def test_a_new_proxy_soon_learns_how_fast_the_servers_are() -> None:
     """Restarted proxies took a jam for the usual: the unhindered latency began high and sank slowly."""
     driver = Driver(servers=1)
