Let a reported queue hold the limit to what is out now, not to twice that

step_limit bounds the limit by twice what is out, for answers that tell of what was sent a latency ago. A report is of now.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -423,7 +423,7 @@
         if event.outcome in (Outcome.OK, Outcome.FULL) and dict(event.load).get("queue", 0.0) >= 1.0:
             # Work waits there: a crowd, not a limit on one class or tenant. Full refusals come at once, so
             # that what is out stays low, and the latency of answers tells only once the jam is seconds old.
-            self.step_limit(True)
+            self.step_limit(True, most=1.0)
             return
         if event.outcome not in (Outcome.OK, Outcome.TIMEOUT):
             return
@@ -437,16 +437,17 @@
         if event.outcome is Outcome.OK or long:
             self.step_limit(long)
 
-    def step_limit(self, long: bool) -> None:
+    def step_limit(self, long: bool, most: float = 2.0) -> None:
         """Lower the limit on what is out after a long answer; raise it after a prompt one where it binds.
 
         Guards against overshooting: what was sent before a step still takes long after it, but all that is
         under way together lowers the limit by a part. A low limit lets few answers come, so that each
-        counts for more.
+        counts for more. A long answer leaves no more than `most` times what is out: a reported queue is of
+        now, so what is out now is already enough.
         """
         step = max(LIMIT_STEP, 1.0 / self.limit)
         if long:
-            self.limit = max(1.0, min(self.limit, 2.0 * (self.out + 1)) - LIMIT_CUT * step)
+            self.limit = max(1.0, min(self.limit, most * (self.out + 1)) - LIMIT_CUT * step)
             self.strained = True
         elif self.out + 1 >= self.limit / 2:
             self.limit += step if self.strained else 1.0
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -661,6 +661,16 @@
     assert sent[90_000] == 200
 
 
+def test_a_reported_queue_leaves_no_more_than_what_is_out() -> None:
+    """Proxies with twice the room they used went on sending more while every server's queue grew."""
+    driver = Driver(servers=8)
+    driver.balancer.limit = 30.0
+    asked = [driver.arrive(klass=2, patience_us=1_000_000) for _ in range(10)]
+    name, actions = asked[0]
+    driver.end(name, sends(actions)[0].server, load=(("queue", 2.0),))
+    assert driver.balancer.limit <= 10.0
+
+
 def test_a_new_proxy_soon_learns_how_fast_the_servers_are() -> None:
     """Restarted proxies took a jam for the usual: the unhindered latency began high and sank slowly."""
     driver = Driver(servers=1)
