Let the limit on what is out sink to a half, so that in a jam one is out and not two

With limit 1 nothing is shed at one out, so every one of 200 gateways had two: 400 to 600 at some 45 warm servers. step_limit's floor of 1.0 is at fault; at a half the second one passes with the share that shedding always leaves. Below one the step stays at one, as a whole one is a whole request. Ruled out: late signals (the limit is at the floor), cold servers (they serve 300 of 393 at 14 s).

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -60,6 +60,7 @@
 # Shedding
 TOLERATED = 0.25  # share of the slack under the tightest aim that an answer may have waited
 LIMIT_FIRST = 6.0  # requests out before anything is known: many restarted proxies must not add up to a jam
+LIMIT_LEAST = 0.5  # with one out hardly any more goes: at one, hundreds of proxies had two out each
 LIMIT_STEP = 0.2  # added to the limit by a prompt answer once a long one has come, before that one each
 LIMIT_CUT = 3.0  # times the step, taken off by a long one: it holds where a quarter are long
 SHED_STEP = 0.1  # of the work asked for, shed more or less after one list with live weights
@@ -445,9 +446,9 @@
         counts for more. A long answer leaves no more than `most` times what is out: a reported queue is of
         now, so what is out now is already enough.
         """
-        step = max(LIMIT_STEP, 1.0 / self.limit)
+        step = max(LIMIT_STEP, min(1.0, 1.0 / self.limit))
         if long:
-            self.limit = max(1.0, min(self.limit, most * (self.out + 1)) - LIMIT_CUT * step)
+            self.limit = max(LIMIT_LEAST, min(self.limit, most * (self.out + 1)) - LIMIT_CUT * step)
             self.strained = True
         elif self.out + 1 >= self.limit / 2:
             self.limit += step if self.strained else 1.0
