Let hurried time-outs lower the limit when longer than twice the unhindered latency

judge forgot every time-out that came sooner than a slow reply, for the server and for the limit alike, and adjust_limit measured the wait against the class's aim, which such a client does not give.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -428,8 +428,10 @@
             return
         if event.outcome not in (Outcome.OK, Outcome.TIMEOUT):
             return
-        # A time-out tells no more than that the answer would have come later.
-        slack = classes[request.klass].aim_us - self.unhindered[request.klass]
+        # A time-out tells no more than that the answer would have come later. What a client in a hurry gives
+        # is all the time there is: many that time out, ask again and time out are a jam too.
+        given_us = request.deadline_us - request.attempts[event.attempt].sent_us
+        slack = min(given_us, classes[request.klass].aim_us) - self.unhindered[request.klass]
         waited = event.latency_us - self.unhindered[request.klass] * request.size
         # No less than what makes a reply slow: work that varies by itself must not pass for a queue.
         tolerated = slack * (TOLERATED + (1.0 - TOLERATED) * classes[request.klass].late_worth)
@@ -798,6 +800,8 @@
         if hurried or outcome is Outcome.MOOT or (outcome is Outcome.CANCELLED and not attempt.overdue):
             for breaker, trial_of in zip(judges(server, request.kind), attempt.trials_of, strict=True):
                 breaker.forgo_trial(trial_of)
+            if hurried:
+                self.adjust_limit(request, event)  # no server's fault, but all may be crowded
             return
         failed = outcome is not Outcome.OK
         ratio = 0.0 if failed else event.latency_us / max(1.0, self.expected_us(request))
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -685,6 +685,18 @@
     assert seconds < 10
 
 
+@pytest.mark.parametrize(("given_us", "sheds"), [(30_000, False), (50_000, True)])
+def test_a_hurried_time_out_lowers_the_limit_but_blames_no_server(given_us: int, sheds: bool) -> None:
+    """Clients in a hurry timed out and came again, until the patient ones were late too."""
+    driver = Driver(servers=1)
+    driver.balancer.unhindered[0], driver.balancer.smoothed[0] = 20_000.0, 60_000.0
+    name, _ = driver.arrive(patience_us=given_us)
+    driver.now_us += given_us
+    driver.end(name, 0, Outcome.TIMEOUT, latency_us=given_us)
+    assert (driver.balancer.limit < LIMIT_FIRST) == sheds
+    assert not driver.balancer.servers[0].breakers[0].failures
+
+
 def test_a_new_proxy_soon_learns_how_fast_the_servers_are() -> None:
     """Restarted proxies took a jam for the usual: the unhindered latency began high and sank slowly."""
     driver = Driver(servers=1)
