--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -62,6 +62,7 @@
 LIMIT_FIRST = 6.0  # requests out before anything is known: many restarted proxies must not add up to a jam
 LIMIT_LEAST = 0.5  # with one out hardly any more goes: at one, hundreds of proxies had two out each
 LIMIT_STEP = 0.2  # added to the limit by a prompt answer once a long one has come, before that one each
+BINDS = 0.75  # share of the limit that must be out for a prompt answer to raise it: bursts fit into the rest
 LIMIT_CUT = 3.0  # times the step, taken off by a long one: it holds where a quarter are long
 SHED_STEP = 0.1  # of the work asked for, shed more or less after one list with live weights
 HELD_PER_CORE = 1.0  # requests held by a core of the fleet, as live weights tell, beyond which more is shed
@@ -452,7 +453,7 @@
         if long:
             self.limit = max(LIMIT_LEAST, min(self.limit, most * (self.out + 1)) - LIMIT_CUT * step)
             self.strained = True
-        elif self.out + 1 >= self.limit / 2:
+        elif self.out + 1 >= self.limit * BINDS:
             self.limit += step if self.strained else 1.0
 
     @property
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -697,6 +697,16 @@
     assert not driver.balancer.servers[0].breakers[0].failures
 
 
+def test_prompt_answers_leave_no_room_for_a_burst_of_half_as_much_again() -> None:
+    """The limit rose to twice what was out, so that a burst jammed the servers before it was met."""
+    driver = Driver(servers=8)
+    held = [driver.arrive(klass=2, patience_us=1_000_000) for _ in range(5)]
+    for _ in range(30):
+        name, actions = driver.arrive()
+        driver.end(name, sends(actions)[0].server, latency_us=5_000)
+    assert len(held) == 5 and LIMIT_FIRST < driver.balancer.limit <= 1.5 * (5 + 1)
+
+
 def test_a_new_proxy_soon_learns_how_fast_the_servers_are() -> None:
     """Restarted proxies took a jam for the usual: the unhindered latency began high and sank slowly."""
     driver = Driver(servers=1)
