Tell of an attempt that is given up only once its connection is closed

The module's next attempt is written to an idle connection within the same call, and even an abort in the order of the code closes the descriptor only on the loop's next turn (uvloop puts it on its agenda). For an instant two attempts of one request had open connections. Ruled out: a delayed write, as uvloop writes at once where nothing is buffered. At fault: Exchange.give_up, fail and connection_lost in upstream.py. The outcome is now told after the close, one turn of the loop later.

--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -50,36 +50,50 @@
 class Exchange:
     """One request to one host."""
 
-    __slots__ = ("_ended", "connection", "done", "payload", "timer", "written")
+    __slots__ = ("_ended", "_loop", "connection", "done", "payload", "timer", "written")
 
-    def __init__(self, payload: bytes, ended: Ended) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, payload: bytes, ended: Ended) -> None:
         self.payload = payload
+        self._loop = loop
         self._ended = ended
         self.connection: HostConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.written = False  # the last byte has left the process: from here on it may have run
         self.done = False
 
-    def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
-        if self.done:
-            return
-        self.done = True
-        if self.timer is not None:
-            self.timer.cancel()
-        self._ended(outcome, answer)
+    def answered(self, answer: Answer) -> None:
+        if self.stop():
+            self._ended(outcome_of(answer), answer)
 
     def lost(self) -> None:
         """The connection has gone, or what came on it was no answer."""
-        self.end(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
+        self.end_unanswered(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
 
     def give_up(self, outcome: Outcome) -> None:
         """Stop waiting: the host learns of it by the close of its connection."""
         if self.done:
             return
-        connection = self.connection
-        self.end(outcome if self.written or outcome is Outcome.CANCELLED else Outcome.CONNECT_FAILED)
-        if connection is not None:
-            connection.abort()
+        if self.connection is not None:
+            self.connection.abort()
+        never_sent = not self.written and outcome is Outcome.TIMEOUT
+        self.end_unanswered(Outcome.CONNECT_FAILED if never_sent else outcome)
+
+    def end_unanswered(self, outcome: Outcome) -> None:
+        """Tell of it once the connection is closed, which an abort only puts on the loop's agenda.
+
+        Guards against a second copy: what comes next may be another attempt, written to its host at once.
+        """
+        if self.stop():
+            self._loop.call_soon(self._ended, outcome, None)
+
+    def stop(self) -> bool:
+        """Nothing more is waited for; False if that was so before."""
+        if self.done:
+            return False
+        self.done = True
+        if self.timer is not None:
+            self.timer.cancel()
+        return True
 
 
 class HostConnection(asyncio.Protocol):
@@ -204,7 +218,7 @@
             self.pool.rest(self)
         else:
             self.abort()
-        exchange.end(outcome_of(answer), answer)
+        exchange.answered(answer)
 
 
 @dataclass(slots=True, eq=False)
@@ -263,10 +277,10 @@
     # Exchanges
 
     def send(self, number: HostId, payload: bytes, timeout_s: float, ended: Ended) -> Exchange:
-        exchange = Exchange(payload, ended)
+        exchange = Exchange(self.loop, payload, ended)
         host = self.hosts.get(number)
         if host is None or not self.may_send(host):
-            self.loop.call_soon(exchange.lost)
+            exchange.lost()
             return exchange
         exchange.timer = self.loop.call_later(timeout_s, exchange.give_up, Outcome.TIMEOUT)
         while host.idle:
@@ -279,7 +293,7 @@
 
     def connect(self, host: Host, exchange: Exchange) -> None:
         if len(self.connections) >= self.limit and not self.close_oldest_idle():
-            self.loop.call_soon(exchange.lost)
+            exchange.lost()
             return
         connection = HostConnection(self, host)
         connection.exchange, exchange.connection = exchange, connection
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -39,6 +39,11 @@
     return sock
 
 
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0)
+
+
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, Head]:
     first, *lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").rstrip().split("\r\n")
     return first, {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -26,7 +25,7 @@
     Send,
     ServerList,
 )
-from tests.sockets import PATIENCE_S, Gateway, ask, chunk, entry, gateway, news, run, settings
+from tests.sockets import PATIENCE_S, Gateway, ask, chunk, entry, gateway, news, run, settings, until
 
 
 def test_a_request_goes_on_and_its_answer_comes_back_unchanged() -> None:
@@ -352,11 +351,6 @@
     run(test())
 
 
-async def until(condition: Callable[[], bool]) -> None:
-    while not condition():
-        await asyncio.sleep(0)
-
-
 def test_a_peer_that_sends_nothing_is_closed_long_before_an_idle_client() -> None:
     async def test() -> None:
         async with gateway() as it:
