Withhold what is not yet written when its request is over, even where nothing may be cancelled

Followed on paper through every kind of waiting: requests ahead of their turn and in a line of ordered ones are dropped, none waits for a free socket, a further attempt is decided at once. Left was the connection that still comes up: the module calls such an attempt off only where the settings allow cancelling (call_off in choice.py), so where they do not it was written when the connection was up, up to the connect time-out later. The same after an answer of last resort. To write nothing is no cancel, so it lies in the network code: Proxy.close_account did not tell the exchanges.

--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -282,6 +282,9 @@
         self.open -= 1
         if request.last_resort is not None:
             request.last_resort.cancel()
+        for exchange in request.attempts:
+            if exchange is not None:
+                exchange.withhold()
 
     def forget_if_over(self, request: Request) -> None:
         if request.reply is None and request.out == 0:
--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -78,6 +78,11 @@
         never_sent = not self.written and outcome is Outcome.TIMEOUT
         self.end_unanswered(Outcome.CONNECT_FAILED if never_sent else outcome)
 
+    def withhold(self) -> None:
+        """Its request is over: what has not been sent never is, even where nothing may be cancelled."""
+        if not self.written:
+            self.give_up(Outcome.MOOT)
+
     def end_unanswered(self, outcome: Outcome) -> None:
         """Tell of it once the connection is closed, which an abort only puts on the loop's agenda.
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
+import pytest
 import uvloop
 
 from rosedeal.gateway.config import parse_config
@@ -313,3 +314,17 @@
         proxy.close()
         host.stop()
         registry.stop()
+
+
+def hold_connects(it: Gateway, monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
+    """Connections to hosts come up only once the event is set."""
+    loop, free = it.proxy.loop, asyncio.Event()
+    connect = loop.create_connection
+
+    async def held(protocol: Any, host: str, port: int, **kwargs: Any) -> Any:
+        if f"{host}:{port}" == it.host.address:
+            await free.wait()
+        return await connect(protocol, host, port, **kwargs)
+
+    monkeypatch.setattr(loop, "create_connection", held)
+    return free
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,9 +16,10 @@
     Event,
     Outcome,
     RequestArrived,
+    RequestGone,
     Send,
 )
-from tests.sockets import Gateway, ask, gateway, run, settings
+from tests.sockets import Gateway, ask, gateway, hold_connects, run, settings
 
 
 def decide(it: Gateway, first: list[str], then: str) -> None:
@@ -87,3 +88,58 @@
     except OSError:
         return False
     return True
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+@pytest.mark.parametrize("leave", ["ends", "resets", "resets over unread bytes"])
+def test_a_client_that_leaves_while_its_connection_comes_up_is_not_sent_on(
+    leave: str, may_cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Where attempts may not be cancelled, the request was written once the connection was up."""
+
+    async def test() -> None:
+        async with gateway(settings=settings(mayCancel=may_cancel)) as it:
+            free = hold_connects(it, monkeypatch)
+            client = await it.client()
+            client.send(ask(Request_Id="left") + (b"more" if "unread" in leave else b""))
+            await it.event(RequestArrived)
+            if leave == "ends":
+                client.writer.close()
+            else:
+                client.writer.transport.abort()
+            await it.event(RequestGone)
+            free.set()
+            ended = await it.event(AttemptEnded)
+            assert ended.outcome in (Outcome.CANCELLED, Outcome.MOOT) and ended.finished
+            good = await it.client()
+            good.send(ask(Request_Id="stayed"))
+            taken = await it.host.taken.get()
+            assert taken.head["request-id"] == "stayed"
+            taken.answer()
+            assert (await good.answer())[0] == 200
+            assert not it.proxy.requests and it.proxy.open == 0
+
+    run(test())
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_a_request_answered_while_its_connection_comes_up_is_not_sent_on(
+    may_cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The last resort answers it; its connection is up only after that."""
+
+    async def test() -> None:
+        async with gateway(settings=settings(mayCancel=may_cancel)) as it:
+            free = hold_connects(it, monkeypatch)
+            client = await it.client()
+            client.send(ask("buy"))
+            await it.event(RequestArrived)
+            (request,) = it.proxy.requests.values()
+            it.proxy.answer_at_last(request)
+            assert (await client.answer())[0] == 504
+            free.set()
+            assert (await it.event(AttemptEnded)).finished
+            await it.served(client, ask(Request_Id="next"))
+            assert it.host.taken.empty() and not it.proxy.requests
+
+    run(test())
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-from typing import Any
 
 import pytest
 
@@ -25,7 +24,7 @@
     Send,
     ServerList,
 )
-from tests.sockets import PATIENCE_S, Gateway, ask, chunk, entry, gateway, news, run, settings, until
+from tests.sockets import PATIENCE_S, ask, chunk, entry, gateway, hold_connects, news, run, settings, until
 
 
 def test_a_request_goes_on_and_its_answer_comes_back_unchanged() -> None:
@@ -277,20 +276,6 @@
     run(test())
 
 
-def hold_connects(it: Gateway, monkeypatch: pytest.MonkeyPatch) -> asyncio.Event:
-    """Connections to hosts come up only once the event is set."""
-    loop, free = it.proxy.loop, asyncio.Event()
-    connect = loop.create_connection
-
-    async def held(protocol: Any, host: str, port: int, **kwargs: Any) -> Any:
-        if f"{host}:{port}" == it.host.address:
-            await free.wait()
-        return await connect(protocol, host, port, **kwargs)
-
-    monkeypatch.setattr(loop, "create_connection", held)
-    return free
-
-
 def test_a_request_waiting_for_a_connection_is_not_written_after_a_drain(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
