Let a connection to a host rest before its next request, and look at it as it is used

Hosts answer twice now and then. At fault: Upstream.send took the connection used last, whatever its age. One now rests 20 ms, five times the longest seen.

--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import cast
@@ -21,6 +22,9 @@
 # close: it would end as a reset, which may have run.
 IDLE_SHARE = 0.7
 IDLE_UNSTATED_S = 5.0
+# A connection rests for so long between two requests. Guards against a host that answers twice: its second
+# answer, 1 to 4 ms late, would be taken for that to the next request.
+REST_S = 0.02
 CONNECT_UNSTATED_S = 1.0
 
 HostId = int
@@ -169,6 +173,17 @@
         if self.exchange is not None:
             self.exchange.lost()
 
+    def is_quiet(self) -> bool:
+        """Whether it is open and nothing has come on it, not even what the loop has yet to read.
+
+        Guards against a host's close, or bytes that nobody asked for, that wait to be read as it is used.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
     def abort(self) -> None:
         self.exchange = None
         self.pool.drop(self)
@@ -250,6 +265,8 @@
         self.connect_timeout_s = connect_timeout_us / 1e6 or CONNECT_UNSTATED_S
         self.idle_s = (idle_us / 1e6 or IDLE_UNSTATED_S) * IDLE_SHARE
         self.drain_grace_s = drain_grace_us / 1e6
+        self.rest_s = REST_S
+        self.now = loop.time
         self.hosts: dict[HostId, Host] = {}
         self.connections: set[HostConnection] = set()
 
@@ -288,14 +305,25 @@
             exchange.lost()
             return exchange
         exchange.timer = self.loop.call_later(timeout_s, exchange.give_up, Outcome.TIMEOUT)
-        while host.idle:
-            connection = host.idle.pop()
-            if connection.transport is not None and not connection.transport.is_closing():
-                connection.write(exchange)
-                return exchange
-        self.connect(host, exchange)
+        connection = self.rested(host)
+        if connection is not None:
+            connection.write(exchange)
+        else:
+            self.connect(host, exchange)
         return exchange
 
+    def rested(self, host: Host) -> HostConnection | None:
+        """An idle connection that may be used, taken from the pool: the one used last of them."""
+        now = self.now()
+        for connection in reversed(host.idle[:]):
+            if connection.idle_since > now - self.rest_s:
+                continue
+            if connection.idle_since >= now - self.idle_s and connection.is_quiet():
+                host.idle.remove(connection)
+                return connection
+            connection.abort()
+        return None
+
     def connect(self, host: Host, exchange: Exchange) -> None:
         if len(self.connections) >= self.limit and not self.close_oldest_idle():
             exchange.lost()
@@ -321,7 +349,7 @@
         if connection.host.stop_at is not None:
             connection.abort()
             return
-        connection.idle_since = self.loop.time()
+        connection.idle_since = self.now()
         connection.host.idle.append(connection)
 
     def drop(self, connection: HostConnection) -> None:
@@ -344,7 +372,7 @@
 
     def sweep(self) -> None:
         """Close what has stood idle for long and forget hosts that are gone."""
-        oldest = self.loop.time() - self.idle_s
+        oldest = self.now() - self.idle_s
         for number, host in list(self.hosts.items()):
             while host.idle and host.idle[0].idle_since < oldest:
                 host.idle[0].abort()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -290,7 +290,7 @@
 
 
 @asynccontextmanager
-async def gateway(hosts: int = 1, **changed: Any) -> AsyncIterator[Gateway]:
+async def gateway(hosts: int = 1, rest_s: float = 0.0, **changed: Any) -> AsyncIterator[Gateway]:
     """A running gateway that knows `hosts` hosts, all at the one address of `host`."""
     host, registry = Host(), Registry()
     await host.start()
@@ -299,6 +299,7 @@
     config = parse_config(configuration(known, registry.address, **changed))
     loop = asyncio.get_running_loop()
     proxy = Proxy(config, loop)
+    proxy.upstream.rest_s = rest_s
     downstream = Downstream(config, proxy, loop)
     it = Gateway(proxy, downstream, host, registry)
     it.watch_events()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import os
+import socket
 from typing import Any
 
 import pytest
 
 from rosedeal.gateway.discovery import host_id
-from rosedeal.gateway.upstream import HostConnection
+from rosedeal.gateway import upstream
+from rosedeal.gateway.upstream import Answer, HostConnection
 from rosedeal.interface import (
     Action,
     AttemptEnded,
@@ -19,7 +21,7 @@
     RequestGone,
     Send,
 )
-from tests.sockets import Gateway, ask, gateway, hold_connects, run, settings
+from tests.sockets import Gateway, ask, gateway, hold_connects, run, settings, until
 
 
 def decide(it: Gateway, first: list[str], then: str) -> None:
@@ -143,3 +145,76 @@
             assert it.host.taken.empty() and not it.proxy.requests
 
     run(test())
+
+
+def stop_clock(it: Gateway) -> list[float]:
+    """The pool's clock stands still at the one time in the list."""
+    clock = [it.proxy.upstream.now()]
+    it.proxy.upstream.now = lambda: clock[0]
+    return clock
+
+
+def test_a_late_second_answer_is_not_taken_for_the_next_ones() -> None:
+    """A connection was used again at once, so that what came milliseconds late answered another request."""
+
+    async def test() -> None:
+        async with gateway(rest_s=upstream.REST_S) as it:
+            clock = stop_clock(it)
+            client = await it.client()
+            client.send(ask())
+            first = await it.host.taken.get()
+            first.answer()
+            assert (await client.answer())[0] == 200
+            client.send(ask())
+            second = await it.host.taken.get()
+            assert second.writer is not first.writer  # the first has to rest
+            first.answer(body=b"once more")
+            await it.host.left.get()
+            second.answer(body=b"its own")
+            assert (await client.answer())[2] == b"its own"
+            clock[0] += upstream.REST_S
+            client.send(ask())
+            third = await it.host.taken.get()
+            assert third.writer is second.writer
+            third.answer()
+            assert (await client.answer())[0] == 200
+
+    run(test())
+
+
+@pytest.mark.parametrize("late", [b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", b""])
+def test_an_idle_connection_is_not_used_over_what_waits_to_be_read_on_it(late: bytes) -> None:
+    """The loop had yet to read a second answer, or the host's close, as the next request was written."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            await it.served(client)
+            (idle,) = it.proxy.upstream.connections
+            (writer,) = it.host.writers
+            ended: list[Answer | None] = []
+            # All in one turn of the loop, which reads nothing in between.
+            with socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno())) as raw:
+                raw.send(late) if late else raw.shutdown(socket.SHUT_RDWR)
+            it.proxy.upstream.send(host_id("h0"), ask(), 20.0, lambda _, answer: ended.append(answer))
+            assert idle not in it.proxy.upstream.connections
+            (await it.host.taken.get()).answer(body=b"its own")
+            await until(lambda: bool(ended))
+            assert ended[0] is not None and ended[0].body == b"its own"
+
+    run(test())
+
+
+def test_an_idle_connection_past_its_time_is_not_used() -> None:
+    """Only the sweep looked at the time, once a second: where hosts close after 2 s it came too late."""
+
+    async def test() -> None:
+        async with gateway(settings=settings(keepaliveUs=2_000_000)) as it:
+            clock = stop_clock(it)
+            client = await it.client()
+            await it.served(client)
+            clock[0] += 1.9
+            await it.served(client)
+            assert it.host.connections == 2
+
+    run(test())
