Fail what waits for a connection to a host as soon as the host drains

It now ends at once as never sent, while there is time for another host. The same for a host that is elsewhere or unnamed. Ruled out: attempts that are written; their answers still count (test). At fault: Upstream.may_send and drain_host. The grace is gone from the network code; the two checks on stop_at are as strict on draining.

It mends a defect shown in its own right (four tests failed: no outcome came while the connection was held).

--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -120,7 +120,6 @@
             connections=int((config.sockets - RESERVED_SOCKETS) * UPSTREAM_SHARE),
             connect_timeout_us=settings.connect_timeout_us,
             idle_us=settings.idle_connection_us,
-            drain_grace_us=settings.drain_grace_us,
         )
         self.discovery = Discovery(
             loop, config.discovery, config.names, settings.list_is_pushed, self.on_news
--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -131,10 +131,6 @@
         exchange = self.exchange
         if exchange is None or exchange.done:
             self.abort()
-        elif not self.pool.may_send(self.host):
-            # Guards against a drain that began while the connection was being made.
-            exchange.lost()
-            self.abort()
         else:
             self.write(exchange)
 
@@ -173,6 +169,11 @@
         if self.exchange is not None:
             self.exchange.lost()
 
+    @property
+    def is_unused(self) -> bool:
+        """Idle, or still coming up."""
+        return self.exchange is None or self.transport is None
+
     def is_quiet(self) -> bool:
         """Whether it is open and nothing has come on it, not even what the loop has yet to read.
 
@@ -244,7 +245,7 @@
 @dataclass(slots=True, eq=False)
 class Host:
     address: Address
-    stop_at: float | None = None  # loop time from which nothing new may be written, once it drains or is gone
+    draining: bool = False  # or gone: nothing new is written
     idle: list[HostConnection] = field(default_factory=list)  # the one used last comes last
 
 
@@ -258,13 +259,11 @@
         connections: int,
         connect_timeout_us: int,
         idle_us: int,
-        drain_grace_us: int,
     ) -> None:
         self.loop = loop
         self.limit = connections
         self.connect_timeout_s = connect_timeout_us / 1e6 or CONNECT_UNSTATED_S
         self.idle_s = (idle_us / 1e6 or IDLE_UNSTATED_S) * IDLE_SHARE
-        self.drain_grace_s = drain_grace_us / 1e6
         self.rest_s = REST_S
         self.now = loop.time
         self.hosts: dict[HostId, Host] = {}
@@ -275,33 +274,31 @@
     def list_host(self, number: HostId, address: Address, status: ServerStatus) -> None:
         host = self.hosts.setdefault(number, Host(address))
         if host.address != address:
-            self.close_idle(number)
+            self.retire(host)
             host.address = address
-        if status is ServerStatus.READY:
-            host.stop_at = None
-        else:
-            self.drain_host(number)
-
-    def drain_host(self, number: HostId) -> None:
-        """The host drains or is gone: nothing new to it once the grace is over."""
-        host = self.hosts.get(number)
-        if host is not None and host.stop_at is None:
-            host.stop_at = self.loop.time() + self.drain_grace_s
-            self.close_idle(number)
+        host.draining = status is not ServerStatus.READY
+        if host.draining:
+            self.retire(host)
 
     def drain_others(self, listed: Iterable[HostId]) -> None:
         for number in self.hosts.keys() - set(listed):
-            self.drain_host(number)
+            self.hosts[number].draining = True
+            self.retire(self.hosts[number])
 
-    def may_send(self, host: Host) -> bool:
-        return host.stop_at is None or self.loop.time() < host.stop_at
+    def retire(self, host: Host) -> None:
+        """The host drains, is gone or is elsewhere: nothing new to it where it was.
+
+        What waits for a connection there hears of it now, while there is time for another host.
+        """
+        for connection in [c for c in self.connections if c.host is host and c.is_unused]:
+            connection.fail()
 
     # Exchanges
 
     def send(self, number: HostId, payload: bytes, timeout_s: float, ended: Ended) -> Exchange:
         exchange = Exchange(self.loop, payload, ended)
         host = self.hosts.get(number)
-        if host is None or not self.may_send(host):
+        if host is None or host.draining:
             exchange.lost()
             return exchange
         exchange.timer = self.loop.call_later(timeout_s, exchange.give_up, Outcome.TIMEOUT)
@@ -346,7 +343,7 @@
     # The pool
 
     def rest(self, connection: HostConnection) -> None:
-        if connection.host.stop_at is not None:
+        if connection.host.draining:
             connection.abort()
             return
         connection.idle_since = self.now()
@@ -376,7 +373,7 @@
         for number, host in list(self.hosts.items()):
             while host.idle and host.idle[0].idle_since < oldest:
                 host.idle[0].abort()
-            if host.stop_at is not None and not self.may_send(host) and not host.idle:
+            if host.draining:
                 del self.hosts[number]
 
     def close(self) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,12 +16,14 @@
     AttemptEnded,
     Cancel,
     Event,
+    ListKind,
     Outcome,
     RequestArrived,
     RequestGone,
     Send,
+    ServerList,
 )
-from tests.sockets import Gateway, ask, gateway, hold_connects, run, settings, until
+from tests.sockets import Gateway, ask, chunk, entry, gateway, hold_connects, news, run, settings, until
 
 
 def decide(it: Gateway, first: list[str], then: str) -> None:
@@ -218,3 +220,53 @@
             assert it.host.connections == 2
 
     run(test())
+
+
+@pytest.mark.parametrize("said", ["leaving", "left", "unnamed", "elsewhere"])
+def test_what_waits_for_a_connection_hears_of_a_drain_at_once(
+    said: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was written if the connection came up within the grace, and else waited for that to fail."""
+
+    async def test() -> None:
+        changed = settings(connectTimeoutUs=120_000_000)
+        changed["contract"] = {"mustAskInUs": 100_000, "stopSendingWithinUs": 60_000_000}
+        async with gateway(settings=changed) as it:
+            _, watch = await it.registry.watches.get()
+            free = hold_connects(it, monkeypatch)
+            client = await it.client()
+            client.send(ask("buy"))
+            await it.event(RequestArrived)
+            if said == "unnamed":
+                watch.write(chunk(news(entry("h1", it.host.address), snapshot=True)))
+            elif said == "elsewhere":
+                watch.write(chunk(news(entry("h0", "127.0.0.1:9"))))
+            else:
+                watch.write(chunk(news(entry("h0", it.host.address, said))))
+            assert (await it.event(AttemptEnded)).outcome is Outcome.CONNECT_FAILED
+            assert (await client.answer())[0] == 503
+            free.set()
+            watch.write(chunk(news(entry("h0", it.host.address), entry("h1", "127.0.0.1:9", "left"))))
+            await it.event(ServerList)
+            await it.served(client, ask(Request_Id="next"))
+            assert it.host.taken.empty()
+
+    run(test())
+
+
+def test_an_answer_to_a_host_that_drains_meanwhile_still_counts() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            _, watch = await it.registry.watches.get()
+            client = await it.client()
+            client.send(ask("buy"))
+            taken = await it.host.taken.get()
+            watch.write(chunk(news(entry("h0", it.host.address, "leaving"))))
+            await it.event(ServerList, lambda e: e.kind is ListKind.DELTA)
+            it.proxy.upstream.sweep()
+            taken.answer()
+            assert (await client.answer())[0] == 200
+            await it.host.left.get()  # its connection is not kept
+            assert not it.proxy.upstream.connections
+
+    run(test())
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -37,7 +37,7 @@
             assert await told(it) == (ListKind.DELTA, ["h1 gone"])
             watch.write(chunk(news(entry("h2", it.host.address), snapshot=True)))
             assert await told(it) == (ListKind.FULL, ["h2 ready"])
-            assert it.proxy.upstream.hosts[host_id("h0")].stop_at is not None  # the full list lacks it
+            assert it.proxy.upstream.hosts[host_id("h0")].draining  # the full list lacks it
 
     run(test())
 
@@ -179,7 +179,7 @@
             assert host.address == ("127.0.0.1", 9)
             watch.write(chunk(news(entry("h0", it.host.address, "leaving"))))
             assert await told(it) == (ListKind.DELTA, [f"h0 {ServerStatus.DRAINING.value}"])
-            assert not it.proxy.upstream.may_send(host)
+            assert host.draining
 
     run(test())
 
