Cut an answer off that is longer than any the protocol has, however it is framed

Only whole header values and bodies were counted: a header value, a chunk's extension or interim answers without end grew in the parser, or ran on, until the attempt's time-out. What comes may be as fast as a loopback. At fault: on_header and on_body in upstream.py, which the parser calls for what is complete. All bytes since the request now count. A defect shown in its own right: each of the tests ran into its 30 s without it.

--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -18,6 +18,9 @@
 
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
+ANSWER_LIMIT = 4 * (
+    HEAD_LIMIT + BODY_LIMIT
+)  # of all bytes: interim answers and the framing of chunks come on top
 # Part of the time after which hosts close idle connections. Guards against a request that crosses the host's
 # close: it would end as a reset, which may have run.
 IDLE_SHARE = 0.7
@@ -116,6 +119,7 @@
         self.connecting: asyncio.Task[None] | None = None
         self.idle_since = 0.0
         self.answer = Answer()
+        self.received = 0  # bytes since the request
         self.size = 0
         self.chunks: list[bytes] = []
         self.complete = False
@@ -138,6 +142,7 @@
         transport = self.transport
         assert transport is not None
         self.exchange = exchange
+        self.received = 0
         exchange.connection = self
         exchange.written = True  # unless pause_writing says otherwise from within write
         transport.write(exchange.payload)
@@ -156,6 +161,7 @@
         if self.exchange is None:  # nothing was asked
             self.abort()
             return
+        self.received += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
@@ -163,6 +169,8 @@
             return
         if self.complete:
             self.conclude()
+        elif self.received > ANSWER_LIMIT:
+            self.fail()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.drop(self)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import socket
 from typing import Any
@@ -270,3 +271,33 @@
             assert not it.proxy.upstream.connections
 
     run(test())
+
+
+ENDLESS = [
+    b"HTTP/1.1 200 OK\r\nX: " + b"x" * 1000,
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;" + b"x" * 1000,
+    b"HTTP/1.1 102 Processing\r\n\r\n",
+]
+
+
+@pytest.mark.parametrize("begin", ENDLESS, ids=["head", "chunk extension", "interim answers"])
+def test_an_answer_that_never_ends_is_cut_off(begin: bytes) -> None:
+    """Only whole header values and bodies were counted: the rest grew until the time-out."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask("buy"))
+            taken = await it.host.taken.get()
+            taken.raw(begin)
+            more = begin if begin.endswith(b"\r\n\r\n") else b"x" * 1000
+            ended = asyncio.create_task(it.event(AttemptEnded))
+            while not ended.done() and not taken.writer.is_closing():
+                taken.raw(more)
+                await taken.writer.drain()
+                await asyncio.sleep(0)
+            assert (await ended).outcome is Outcome.RESET
+            assert (await client.answer())[0] == 502
+            assert not it.proxy.upstream.connections
+
+    run(test())
