--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -27,7 +27,7 @@
 IDLE_UNSTATED_S = 5.0
 # A connection rests for so long between two requests. Guards against a host that answers twice: its second
 # answer, 1 to 4 ms late, would be taken for that to the next request.
-REST_S = 0.02
+REST_S = 0.01
 CONNECT_UNSTATED_S = 1.0
 
 HostId = int
