Read indented lists, keep what a whole list cannot say, and follow a move at once

Discovery's paths gone through on paper for what is told and not heard; the lines are in discovery.py. Each fault has its test, seen to fail without the change: - Call.on_body took each line for a message, so an indented list was skipped line by line ("skipped what discovery said"). A host of that name now stays as held, and a whole list that leaves no host is no list. - move made only open calls again. The repeat that comes later finds the watch open and asks for no second one. - An address that is none raised past Call.open, so that no error was told and no call made again. - A pushed list counts as told with no watch open, but was listened to again only after 0.5 s, when the drain's grace was over. Now 0.05 s, doubling to 0.25 s, at random.

Found right, with tests: the old address's last word, a line cut off, an index that runs backwards.

--- a/rosedeal/gateway/discovery.py
+++ b/rosedeal/gateway/discovery.py
@@ -7,7 +7,9 @@
 import json
 import logging
 import math
-from collections.abc import Callable
+import random
+import re
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any, cast
 
@@ -25,13 +27,19 @@
 SILENCE_S = 3.0
 CONNECT_S = 2.0
 LINE_LIMIT = 8 * 1024 * 1024
-REOPEN_S = 0.5  # of a pushed list, where the balancer does not ask
+# Of a pushed list, where the balancer does not ask: what is pushed counts as told whether or not a watch is
+# open, and half a second later nothing may be sent to a draining server. Doubles with each failure in a row.
+REOPEN_S = 0.05
+REOPEN_MOST_S = 0.25
+
+TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')  # whose braces open and close nothing
 
 STATUSES = {"active": ServerStatus.READY, "leaving": ServerStatus.DRAINING, "left": ServerStatus.GONE}
 
 
 @dataclass(frozen=True, slots=True)
 class Entry:
+    name: str
     server: ListedServer
     address: Address
 
@@ -66,24 +74,71 @@
             kind=names.kinds.index(raw["type"]) if names.kinds else 0,
             started_us=since_ms * 1000,
         )
-        return Entry(server, parse_address(raw["address"]))
+        return Entry(raw["name"], server, parse_address(raw["address"]))
     except KeyError as error:
         raise ValueError(f"field or value {error} is missing or unknown") from None
     except (AttributeError, TypeError, OverflowError) as error:
         raise ValueError(str(error)) from None
 
 
-def parse_list(raw: Any, names: Names, full: ListKind = ListKind.FULL) -> News:
-    """One message of discovery. An entry that cannot be read is named in the log and left out."""
+def parse_list(
+    raw: Any, names: Names, full: ListKind = ListKind.FULL, held: Mapping[str, Entry] | None = None
+) -> News:
+    """One message of discovery.
+
+    An entry that cannot be read is named in the log; a host of that name stays as it was held. A whole list
+    that leaves nothing is no list: the one that is held stands.
+    """
     if not isinstance(raw, dict) or not isinstance(raw.get("endpoints"), list):
         raise ValueError("a list without endpoints")
+    whole = raw.get("snapshot", True)
     entries: list[Entry] = []
     for item in raw["endpoints"]:
         try:
             entries.append(parse_entry(item, names))
         except (ValueError, ConfigError) as error:
             log.warning("skipped a list entry: %s: %.200r", error, item)
-    return News(full if raw.get("snapshot", True) else ListKind.DELTA, tuple(entries))
+            name = item.get("name") if isinstance(item, dict) else None
+            if whole and held and isinstance(name, str) and name in held:
+                entries.append(held[name])
+    if whole and held and not entries:
+        raise ValueError("a whole list without a host")
+    return News(full if whole else ListKind.DELTA, tuple(entries))
+
+
+class Messages:
+    """Cuts what a watch brings into its JSON objects, each on one line or indented over several."""
+
+    def __init__(self) -> None:
+        self.rest = b""  # of a line that has not ended
+        self.lines: list[bytes] = []  # of an object that has not ended
+        self.depth = 0  # of its braces and brackets
+
+    def feed(self, data: bytes) -> list[bytes]:
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        return [message for line in lines for message in self.add(line)]
+
+    @property
+    def size(self) -> int:
+        return len(self.rest) + sum(map(len, self.lines))
+
+    def add(self, line: bytes) -> list[bytes]:
+        """The objects that end with this line, and rubbish that ends before it."""
+        bare = TEXT.sub(b"", line)
+        depth = sum(map(bare.count, (b"{", b"["))) - sum(map(bare.count, (b"}", b"]")))
+        # Neither a whole list on a line of its own nor the empty line between two is inside another object.
+        is_list = depth == 0 and line.startswith(b"{") and b'"endpoints"' in line
+        if self.lines and (is_list or not line.strip()):
+            cut, self.lines, self.depth = b"\n".join(self.lines), [], 0
+            return [cut, *self.add(line)]
+        if not line.strip():
+            return []
+        self.lines.append(line)
+        self.depth += depth
+        if self.depth > 0:
+            return []
+        message, self.lines, self.depth = b"\n".join(self.lines), [], 0
+        return [message]
 
 
 class Call(asyncio.Protocol):
@@ -95,7 +150,8 @@
         self.watch = watch
         self.parser = httptools.HttpResponseParser(self)
         self.transport: asyncio.Transport | None = None
-        self.buffer = bytearray()
+        self.messages = Messages()
+        self.whole = bytearray()  # of an answer that is read once it is over
         self.over = False
         self.silence: asyncio.TimerHandle | None = None
         self.task = discovery.loop.create_task(self.open())
@@ -104,7 +160,7 @@
         try:
             async with asyncio.timeout(CONNECT_S):
                 await self.discovery.loop.create_connection(lambda: self, *self.discovery.address)
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:  # the last from an address that is none
             self.fail(f"no connection: {error}")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -139,15 +195,14 @@
     def on_body(self, body: bytes) -> None:
         if self.over:
             return
-        self.buffer += body
-        if len(self.buffer) > LINE_LIMIT:
-            self.fail("a line too long")
-        elif self.watch:
-            *lines, rest = self.buffer.split(b"\n")
-            self.buffer = rest
-            for line in lines:
-                if line.strip() and not self.over:
-                    self.read(bytes(line))
+        if self.watch:
+            for message in self.messages.feed(body):
+                if not self.over:
+                    self.read(message)
+        else:
+            self.whole += body
+        if self.messages.size + len(self.whole) > LINE_LIMIT:
+            self.fail("a list too long")
 
     def on_message_complete(self) -> None:
         if self.over:
@@ -156,7 +211,7 @@
             self.fail("the watch ended")
         else:
             self.end()
-            if not self.read(bytes(self.buffer)):
+            if not self.read(bytes(self.whole)):
                 self.discovery.failed(self)
 
     def read(self, text: bytes) -> bool:
@@ -198,6 +253,9 @@
         self.names = names
         self.pushed = pushed
         self.news = news
+        self.held: dict[str, Entry] = {}  # the list as last told
+        self.watching = False  # whether a watch is wanted, open or not
+        self.failures = 0  # of calls in a row
         self.index = 0
         self.current: Call | None = None  # the watch
         self.fetches: set[Call] = set()
@@ -205,17 +263,22 @@
     def start(self, known: dict[str, Any]) -> None:
         """Begin with the list as last held; a pushed list comes without being asked for."""
         self.index = _index(known)
-        self.news(parse_list({"endpoints": [], **known, "snapshot": True}, self.names, ListKind.DISK))
+        self.tell(parse_list({"endpoints": [], **known, "snapshot": True}, self.names, ListKind.DISK))
         if self.pushed:
             self.watch(True)
 
     def move(self, address: Address) -> None:
-        """Discovery is elsewhere now. A call that was still out is made again there."""
+        """Discovery is elsewhere now. What was asked of it is asked again there, at once.
+
+        That holds too where the last call has failed and its repeat is some seconds off: news counts as told
+        4 s after the move.
+        """
         if address == self.address:
             return
         log.info("discovery: moved to %s:%d", *address)
         self.address = address
-        if self.current is not None:
+        if self.watching:
+            self.watch(False)
             self.watch(True)
         for call in list(self.fetches):
             if not call.over:
@@ -224,19 +287,31 @@
             self.fetches.discard(call)
 
     def watch(self, on: bool) -> None:
-        if self.current is not None:
+        """Open a watch unless one is open, or close it."""
+        self.watching = on
+        if self.current is not None and not on:
             self.current.end()
             self.current = None
-        if on:
+        if self.current is None and on:
             self.current = Call(self, f"{PATH}?stream=1&index={self.index}", watch=True)
 
     def fetch(self) -> None:
         self.fetches.add(Call(self, PATH, watch=False))
 
     def told(self, raw: Any) -> None:
-        news = parse_list(raw, self.names)
+        news = parse_list(raw, self.names, held=self.held)
         self.index = _index(raw)
+        self.failures = 0
         self.fetches = {call for call in self.fetches if not call.over}
+        self.tell(news)
+
+    def tell(self, news: News) -> None:
+        if news.kind is not ListKind.DELTA:
+            self.held.clear()
+        for entry in news.entries:
+            self.held[entry.name] = entry
+            if entry.server.status is ServerStatus.GONE:
+                del self.held[entry.name]
         self.news(news)
 
     def failed(self, call: Call) -> None:
@@ -244,7 +319,9 @@
         if call is self.current:
             self.current = None
             if self.pushed:
-                self.loop.call_later(REOPEN_S, self.watch, True)
+                wait_s = min(REOPEN_S * 2**self.failures, REOPEN_MOST_S)
+                self.failures = min(self.failures + 1, 10)
+                self.loop.call_later(wait_s * random.uniform(0.5, 1.0), self.watch, True)
                 return
         self.news(News(ListKind.ERROR))
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import socket
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
@@ -33,6 +34,12 @@
         runner.run(bounded())
 
 
+def send_now(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Put it into the other side's socket within this turn of the loop, which reads nothing meanwhile."""
+    with socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno())) as raw:
+        raw.send(data)
+
+
 def small_socket() -> socket.socket:
     """Takes in little unread, so that a test can make the other side's writes wait."""
     sock = socket.socket()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -27,7 +27,6 @@
 )
 from tests.sockets import (
     PATIENCE_S,
-    Client,
     Gateway,
     ask,
     chunk,
@@ -36,6 +35,7 @@
     hold_connects,
     news,
     run,
+    send_now,
     settings,
     until,
 )
@@ -317,12 +317,6 @@
     run(test())
 
 
-def send_now(client: Client, data: bytes) -> None:
-    """Put it into the gateway's socket within this turn of the loop, which reads nothing meanwhile."""
-    with socket.socket(fileno=os.dup(client.writer.get_extra_info("socket").fileno())) as raw:
-        raw.send(data)
-
-
 def test_a_client_that_ends_before_it_has_read_an_earlier_answer_is_gone_at_once() -> None:
     """The transport told of the end only when all that was written before had been read."""
 
@@ -416,7 +410,7 @@
             await it.served(client)
             (connection,) = it.downstream.connections
             connection.quiet_since -= 2 * downstream.IDLE_S
-            send_now(client, ask())
+            send_now(client.writer, ask())
             it.downstream.sweep()
             (await it.host.taken.get()).answer()
             assert (await client.answer())[0] == 200
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
+from types import SimpleNamespace
+from typing import cast
+
 import pytest
 
 from rosedeal.gateway import discovery
-from rosedeal.gateway.config import parse_address
+from rosedeal.gateway.config import Names, parse_address
 from rosedeal.gateway.discovery import host_id
-from rosedeal.interface import FetchList, ListKind, ServerList, ServerStatus, Settings
+from rosedeal.interface import FetchList, ListKind, ServerList, ServerStatus, Settings, WatchList
 from tests.helpers import SAFE, Driver, timers
-from tests.sockets import Gateway, Registry, chunk, entry, gateway, news, run, settings
+from tests.sockets import Gateway, Registry, chunk, entry, gateway, news, run, send_now, settings
 
 
 async def told(it: Gateway) -> tuple[ListKind, list[str]]:
@@ -216,3 +221,169 @@
             elsewhere.stop()
 
     run(test())
+
+
+def test_an_indented_list_is_one_message() -> None:
+    """Each of its lines was skipped as rubbish, and nothing of the list was learnt."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            _, watch = await it.registry.watches.get()
+            whole = json.loads(news(entry("h1", it.host.address, note="} ["), entry("h2", it.host.address)))
+            for indent in (2, 0, "\t"):
+                text = json.dumps({**whole, "snapshot": True}, indent=indent) + "\n"
+                for part in (text[:40], text[40:90], text[90:]):
+                    watch.write(chunk(part))
+                assert await told(it) == (ListKind.FULL, ["h1 ready", "h2 ready"])
+                watch.write(chunk("\n") + chunk(news(entry("h2", it.host.address, "leaving"))))
+                assert await told(it) == (ListKind.DELTA, ["h2 draining"])
+
+    run(test())
+
+
+@pytest.mark.parametrize("bad", ["{", '{"index": 9, "endpoints": [', "[[[", "}"])
+def test_a_message_that_is_cut_off_costs_no_other(bad: str, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            _, watch = await it.registry.watches.get()
+            watch.write(chunk(bad + "\n") + chunk(news(entry("h2", it.host.address))))
+            assert await told(it) == (ListKind.DELTA, ["h2 ready"])
+            watch.write(chunk(bad + "\n") + chunk("\n"))
+            watch.write(chunk(json.dumps(json.loads(news(entry("h3", it.host.address))), indent=1) + "\n"))
+            assert await told(it) == (ListKind.DELTA, ["h3 ready"])
+            assert caplog.text.count("skipped what discovery said") == 2
+
+    run(test())
+
+
+def test_a_list_too_long_ends_its_watch(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "LINE_LIMIT", 2_000)
+
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            _, watch = await it.registry.watches.get()
+            watch.write(chunk("{\n" + "x" * 1_000 + "\n") + chunk("x" * 1_000))
+            assert await told(it) == (ListKind.ERROR, [])
+
+    run(test())
+
+
+def test_a_whole_list_keeps_what_it_names_and_cannot_say() -> None:
+    """An entry that could not be read was left out, and its host was taken for gone."""
+
+    async def test() -> None:
+        async with gateway(hosts=2) as it:
+            await told(it)
+            _, watch = await it.registry.watches.get()
+            listed = [entry("h0", "nowhere"), entry("h2", it.host.address), entry("h3", "nowhere")]
+            watch.write(chunk(news(*listed, snapshot=True)))
+            assert await told(it) == (ListKind.FULL, ["h0 ready", "h2 ready"])
+            hosts = it.proxy.upstream.hosts
+            assert [hosts[host_id(f"h{n}")].draining for n in range(3)] == [False, True, False]
+
+    run(test())
+
+
+@pytest.mark.parametrize("listed", [[], [7, {}], [entry("h7", "nowhere")]])
+def test_a_whole_list_of_nothing_empties_no_list(
+    listed: list[object], caplog: pytest.LogCaptureFixture
+) -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            _, watch = await it.registry.watches.get()
+            watch.write(chunk(news(*listed, snapshot=True)))
+            watch.write(chunk(news(entry("h2", it.host.address))))
+            assert await told(it) == (ListKind.DELTA, ["h2 ready"])
+            assert "a whole list without a host" in caplog.text
+            await it.served(await it.client())
+
+    run(test())
+
+
+def test_a_move_is_followed_at_once_while_a_failed_call_waits_for_its_repeat() -> None:
+    """Only a call that was out was made again, and a repeat could be 4 s off: as long as the rules give."""
+
+    async def test() -> None:
+        changed = settings()
+        changed["contract"] = {"mustAskInUs": 4_000_000_000, "stopSendingWithinUs": 0}
+        async with gateway(discovery="127.0.0.1:1", settings=changed) as it:
+            await told(it)
+            it.proxy.discovery.watch(True)
+            assert await told(it) == (ListKind.ERROR, [])
+            it.proxy.discovery.move(parse_address(it.registry.address))
+            _, watch = await it.registry.watches.get()
+            it.proxy.carry_out(WatchList())  # the repeat finds the watch open
+            watch.write(chunk(news(entry("h1", it.host.address))))
+            assert await told(it) == (ListKind.DELTA, ["h1 ready"])
+            assert it.registry.connections == 1
+
+    run(test())
+
+
+def test_the_old_address_has_no_last_word() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            _, old = await it.registry.watches.get()
+            elsewhere = Registry()
+            await elsewhere.start()
+            send_now(old, chunk(news(entry("h9", it.host.address))))
+            it.proxy.discovery.move(parse_address(elsewhere.address))
+            _, watch = await elsewhere.watches.get()
+            watch.write(chunk(news(entry("h2", it.host.address))))
+            assert await told(it) == (ListKind.DELTA, ["h2 ready"])
+            elsewhere.stop()
+
+    run(test())
+
+
+def test_a_move_to_an_address_that_is_none_is_an_error_and_tried_again() -> None:
+    """It raises no OSError: the call never ended, and none was made again."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            await it.registry.watches.get()
+            it.proxy.discovery.move(("a..b", 80))
+            assert await told(it) == (ListKind.ERROR, [])
+            it.proxy.discovery.move(parse_address(it.registry.address))
+            await it.registry.watches.get()
+
+    run(test())
+
+
+def test_a_watch_that_is_cut_in_mid_line_begins_where_the_last_whole_one_ended() -> None:
+    async def test() -> None:
+        async with gateway() as it:
+            await told(it)
+            _, watch = await it.registry.watches.get()
+            watch.write(chunk(news(index=12)) + chunk(news(entry("h1", it.host.address), index=13)[:30]))
+            assert await told(it) == (ListKind.DELTA, [])
+            watch.transport.abort()
+            assert await told(it) == (ListKind.ERROR, [])
+            first, watch = await it.registry.watches.get()
+            assert "index=12" in first
+            # An index that runs backwards is asked from again: more comes than is new, and never less.
+            watch.write(chunk(news(entry("h2", it.host.address), index=5)))
+            assert await told(it) == (ListKind.DELTA, ["h2 ready"])
+            watch.transport.abort()
+            assert await told(it) == (ListKind.ERROR, [])
+            assert "index=5" in (await it.registry.watches.get())[0]
+
+    run(test())
+
+
+def test_a_pushed_list_is_listened_to_again_long_before_a_drain_must_be_heeded() -> None:
+    waits_s: list[float] = []
+    loop = SimpleNamespace(call_later=lambda delay_s, *_: waits_s.append(delay_s))
+    nameless = Names((), (), (), ())
+    it = discovery.Discovery(cast(asyncio.AbstractEventLoop, loop), ("", 0), nameless, True, lambda _: None)
+    for _ in range(12):
+        it.current = call = cast(discovery.Call, object())
+        it.failed(call)
+    assert waits_s[0] <= discovery.REOPEN_S and max(waits_s) <= discovery.REOPEN_MOST_S < 0.5
+    assert sum(waits_s[:3]) < sum(waits_s[3:6]) and len(set(waits_s)) == 12
