Ignore SIGHUP before the loop runs and after the last answer

A gateway that ends on SIGHUP has crashed, and by default it ends one: from main to the running loop, and once the loop is closed. A test holds the process at its configuration and sends it; it ended before. SIGTERM there may end it, nothing is owed yet. Tests for signals on top of each other and for a hung host; both were right.

--- a/rosedeal/__main__.py
+++ b/rosedeal/__main__.py
@@ -40,10 +40,13 @@
     log.info("%s listens on %s:%d", config.name, *config.listen)
     await told.wait()
     await downstream.drain()
+    loop.remove_signal_handler(signal.SIGHUP)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # nor after
     proxy.close()
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before there is a gateway to tell it to, it ends none
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     try:
         config = load_config(os.environ)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -163,6 +163,74 @@
     run(test())
 
 
+@pytest.mark.parametrize(("number", "code"), [(signal.SIGHUP, None), (signal.SIGTERM, -signal.SIGTERM)])
+def test_signals_before_it_is_ready(number: signal.Signals, code: int | None, tmp_path: Path) -> None:
+    """SIGHUP ended the process until its loop ran. SIGTERM may: nothing is owed yet."""
+
+    async def test() -> None:
+        path = tmp_path / "config"
+        os.mkfifo(path)  # holds the process while it reads its configuration
+        child = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "rosedeal",
+            env={**os.environ, "ROUTER_CONFIG": str(path)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        loop = asyncio.get_running_loop()
+        with await loop.run_in_executor(None, path.open, "w") as config:
+            child.send_signal(number)
+            if code is None:
+                config.write(json.dumps(configuration({}, "127.0.0.1:1")))
+        assert child.stderr is not None
+        if code is None:
+            assert b"listens" in await child.stderr.readline()
+            child.send_signal(signal.SIGTERM)
+        assert await child.wait() == (code or 0)
+
+    run(test())
+
+
+def test_signals_on_top_of_each_other_lose_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        host = Host()
+        async with process(host, tmp_path) as (child, port):
+            held = Client(*await asyncio.open_connection("127.0.0.1", port))
+            held.send(ask("buy"))
+            taken = await host.taken.get()
+            idle = Client(*await asyncio.open_connection("127.0.0.1", port))
+            for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+                child.send_signal(number)
+            assert await idle.closed()
+            child.send_signal(signal.SIGTERM)
+            child.send_signal(signal.SIGHUP)
+            taken.answer()
+            status, head, _ = await held.answer()
+            assert status == 200 and head["connection"] == "close"
+            assert await held.closed()
+            held.writer.close()
+            assert await child.wait() == 0
+
+    run(test())
+
+
+def test_a_hung_host_and_a_short_deadline_hold_up_no_end(tmp_path: Path) -> None:
+    async def test() -> None:
+        host = Host()
+        async with process(host, tmp_path) as (child, port):
+            hung = Client(*await asyncio.open_connection("127.0.0.1", port))
+            hung.send(ask("buy", Request_Timeout_Ms="900"))
+            await host.taken.get()
+            child.send_signal(signal.SIGTERM)
+            status, head, _ = await hung.answer()
+            assert status == 502 and head["connection"] == "close"
+            assert await hung.closed()
+            hung.writer.close()
+            assert await child.wait() == 0
+
+    run(test())
+
+
 def test_requests_that_come_during_a_drain_are_served(monkeypatch: pytest.MonkeyPatch) -> None:
     """The front goes on sending for a moment, on new connections and on those that it has."""
     monkeypatch.setattr(downstream, "HALF_SENT_DRAIN_S", PATIENCE_S)
