Read no trailer as a header of the request

A header behind a chunked body was added to the request's own: Work-Hint or Client-Retry could come so, after the head was over. At fault: on_header in downstream.py. The test failed without it. Also tests of crossings found right: ends in one instant in each order, clients that leave in a burst, also in a drain, and nothing carried from one request to the next on a connection.

--- a/rosedeal/gateway/downstream.py
+++ b/rosedeal/gateway/downstream.py
@@ -174,6 +174,8 @@
         self.incoming.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.head_bytes is None:
+            return  # a trailer says nothing about what is asked
         self.incoming.headers.append((name, value))
         self.incoming.size += len(name) + len(value) + 4
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -7,11 +7,14 @@
 import socket
 from typing import Any
 
+from collections.abc import Callable
+
 import pytest
 
 from rosedeal.gateway.discovery import host_id
 from rosedeal.gateway import downstream, upstream
 from rosedeal.gateway.downstream import BODY_LIMIT
+from rosedeal.gateway.proxy import Request
 from rosedeal.gateway.upstream import Answer, HostConnection
 from rosedeal.interface import (
     Action,
@@ -53,6 +56,8 @@
             return [Send(number, host_id(next(hosts)), 20_000_000)]
         if isinstance(event, AttemptEnded) and not event.finished and event.outcome is not Outcome.OK:
             return [Send(number, host_id(then), 20_000_000)]
+        if isinstance(event, RequestGone):
+            return [Cancel(number, 0)]
         return []
 
     it.proxy.balancer.handle = handle  # type: ignore[method-assign]
@@ -519,3 +524,124 @@
             assert len(ahead) == 3 and last.refusal is not None and last.refusal.answer.status == 503
 
     run(test())
+
+
+def leave(request: Request, it: Gateway) -> None:
+    it.proxy.leave(request)
+
+
+def time_out(request: Request, it: Gateway) -> None:
+    (exchange,) = request.attempts[-1:]
+    assert exchange is not None
+    exchange.give_up(Outcome.TIMEOUT)
+
+
+def cancel(request: Request, it: Gateway) -> None:
+    it.proxy.carry_out(Cancel(request.id, len(request.attempts) - 1))
+
+
+End = Callable[[Request, Gateway], None]
+ENDS: dict[End, Outcome] = {
+    leave: Outcome.CANCELLED,  # by the balancer, at once
+    time_out: Outcome.TIMEOUT,
+    cancel: Outcome.CANCELLED,
+}
+
+
+@pytest.mark.parametrize("answered", ["not", "unread", "read"])
+@pytest.mark.parametrize("second", ENDS)
+@pytest.mark.parametrize("first", ENDS)
+def test_of_ends_in_one_instant_the_first_counts_and_once(first: End, second: End, answered: str) -> None:
+    """An answer, a time-out, a cancel and the client's leaving, in each order and in one turn of the loop."""
+
+    async def test() -> None:
+        async with gateway(settings=settings(maxAttempts=2)) as it:
+            decide(it, ["h0", "h0"], "h0")
+            client = await it.client()
+            client.send(ask(Request_Id="first"))
+            taken = await it.host.taken.get()
+            (request,) = it.proxy.requests.values()
+            (exchange,) = request.attempts
+            assert exchange is not None
+            if answered != "not":
+                send_now(taken.writer, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            if answered == "read":
+                await until(lambda: exchange.done)
+            first(request, it)
+            second(request, it)
+            ended = await it.event(AttemptEnded)
+            if answered == "read":
+                assert ended.outcome is Outcome.OK and (await client.answer())[0] == 200
+            else:
+                assert ended.outcome is ENDS[first]
+                await it.host.left.get()
+            if answered != "read" and leave not in (first, second):
+                (await it.host.taken.get()).answer()
+                assert (await client.answer())[0] == 200
+            await it.served(await it.client(), ask(Request_Id="next"))
+            assert it.host.taken.empty() and not it.proxy.requests and it.proxy.open == 0
+            assert sum(isinstance(e, AttemptEnded) and e.request == "1" for e in it.events) <= 1
+
+    run(test())
+
+
+@pytest.mark.parametrize("draining", [False, True])
+def test_clients_that_leave_in_a_burst_while_they_wait_are_not_sent_on(
+    draining: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with gateway(settings=settings(mayCancel=False)) as it:
+            it.proxy.balancer.limit = 100.0  # nothing is shed for what is out
+            free = hold_connects(it, monkeypatch)
+            clients = [await it.client() for _ in range(20)]
+            for client in clients:
+                client.send(ask())
+                await it.event(RequestArrived)
+            it.downstream.draining = draining
+            for number, client in enumerate(clients):
+                client.writer.transport.abort() if number % 2 else client.writer.close()
+            await until(lambda: not it.downstream.connections)
+            free.set()
+            await until(lambda: not it.proxy.requests)
+            assert it.proxy.open == 0 and it.host.taken.empty()
+            await it.served(await it.client(), ask(Request_Id="stayed"))
+            assert it.host.taken.empty() and len(it.proxy.upstream.connections) <= 1
+
+    run(test())
+
+
+def test_nothing_is_carried_from_one_request_to_the_next_on_a_connection() -> None:
+    async def test() -> None:
+        tenants = [{"name": "acme"}, {"name": "zeta"}]
+        async with gateway(settings={**settings(), "tenants": tenants}) as it:
+            client = await it.client()
+            marked = ask("buy", Tenant="zeta", Work_Hint="1200", Client_Retry="1", Request_Info="isWrite=1")
+            await it.served(client, marked)
+            first = await it.event(RequestArrived)
+            assert (first.tenant, first.work_us, first.is_retry, first.is_write) == (1, 1200, True, True)
+            assert (await client.ask(ask()))[0] == 400  # without its tenant
+            await it.served(client, ask("look", Tenant="acme"))
+            then = await it.event(RequestArrived)
+            assert (then.klass, then.tenant, then.work_us, then.is_retry, then.is_write) == (
+                0,
+                0,
+                None,
+                False,
+                False,
+            )
+
+    run(test())
+
+
+def test_a_trailer_says_nothing_about_what_is_asked() -> None:
+    """It was read as one of the request's own headers."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            head = ask("buy", Transfer_Encoding="chunked")
+            await it.served(client, head + b"1\r\nx\r\n0\r\nWork-Hint: 7\r\nClient-Retry: 1\r\n\r\n")
+            arrived = await it.event(RequestArrived)
+            assert (arrived.work_us, arrived.is_retry) == (None, False)
+
+    run(test())
