Name the host as it is listed in a probe, not by one deployment's name

Found in the search for values that are true of one deployment alone: Proxy.probe sent Host: service.internal.

--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -343,7 +343,7 @@
             self.feed(ProbeEnded(server, outcome, self.clock.now_us() - sent_us, load))
 
         path = b"/stats" if reports else b"/health/live"
-        payload = b"GET " + path + b" HTTP/1.1\r\nHost: service.internal\r\n\r\n"
+        payload = b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (path, self.upstream.authority(server))
         self.upstream.send(server, payload, PROBE_TIMEOUT_S, ended)
 
     # The list, peers
--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -301,6 +301,10 @@
         for connection in [c for c in self.connections if c.host is host and c.is_unused]:
             connection.fail()
 
+    def authority(self, number: HostId) -> bytes:
+        host = self.hosts.get(number)
+        return b"%b:%d" % (host.address[0].encode(), host.address[1]) if host is not None else b""
+
     # Exchanges
 
     def send(self, number: HostId, payload: bytes, timeout_s: float, ended: Ended) -> Exchange:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -556,6 +556,7 @@
             it.proxy.carry_out(Probe(host_id("h0")))
             taken = await it.host.taken.get()
             assert taken.first == f"GET {path} HTTP/1.1" and "request-id" not in taken.head
+            assert taken.head["host"] == it.host.address
             taken.answer(body=b"queue=3")
             ended = await it.event(ProbeEnded)
             assert ended.outcome is Outcome.OK
