Let a time-out that comes due with the last resort be told first

Found by running the socket tests with all cores busy: 7 of 20 plays of test_an_attempt_that_times_out_closes_its_connection answered 504, the last resort, instead of the module's 502. Since an attempt given up is told of one turn of the loop later, a turn in which both time-outs are due, 2 ms apart, gave the last resort the first word: a repeatable class would have heard "failed" where the module refuses with the time to come back. At fault: the timer set in Proxy.arrive; the last resort now waits for that turn to end. The test holds the loop in one turn until both are due; it failed without the change.

One test of SIGHUP before ready took the first line of the log for the one it waits for; it now reads on to that line.

--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -233,7 +233,8 @@
         self.requests[request.id] = request
         self.open += 1
         delay_s = (patience_us + LAST_RESORT_US) / 1e6
-        request.last_resort = self.loop.call_later(delay_s, self.answer_at_last, request)
+        # A turn of the loop later: where both come due in one, the time-out's outcome is told in that turn.
+        request.last_resort = self.loop.call_later(delay_s, self.loop.call_soon, self.answer_at_last, request)
         self.feed(
             RequestArrived(
                 request.id,
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -14,7 +14,7 @@
 from rosedeal.gateway.discovery import host_id
 from rosedeal.gateway import downstream, upstream
 from rosedeal.gateway.downstream import BODY_LIMIT
-from rosedeal.gateway.proxy import Request
+from rosedeal.gateway.proxy import LAST_RESORT_US, Request
 from rosedeal.gateway.upstream import Answer, HostConnection
 from rosedeal.interface import (
     Action,
@@ -645,3 +645,20 @@
             assert (arrived.work_us, arrived.is_retry) == (None, False)
 
     run(test())
+
+
+def test_a_time_out_that_comes_due_with_the_last_resort_is_answered_by_the_balancer() -> None:
+    """Told of only in the loop's next turn, it found its request answered with 504 on a busy gateway."""
+
+    async def test() -> None:
+        async with gateway() as it:
+            client = await it.client()
+            client.send(ask("buy", Request_Timeout_Ms="300"))
+            await it.host.taken.get()
+            (request,) = it.proxy.requests.values()
+            while it.proxy.clock.now_us() < request.deadline_us + 2 * LAST_RESORT_US:
+                pass  # this turn of the loop lasts until both are due
+            assert (await client.answer())[0] == 502
+            assert (await it.event(AttemptEnded)).outcome is Outcome.TIMEOUT
+
+    run(test())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -184,7 +184,8 @@
                 config.write(json.dumps(configuration({}, "127.0.0.1:1")))
         assert child.stderr is not None
         if code is None:
-            assert b"listens" in await child.stderr.readline()
+            while b"listens" not in await child.stderr.readline():
+                assert not child.stderr.at_eof()
             child.send_signal(signal.SIGTERM)
         assert await child.wait() == (code or 0)
 
