--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -263,6 +263,34 @@
     run(test())
 
 
+def test_a_request_in_the_accept_queue_as_the_listener_closes_is_served(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its connection was up and the request sent, and the close of the listener reset both."""
+    monkeypatch.setattr(downstream, "LAST_ACCEPT_S", 0.0)
+    monkeypatch.setattr(downstream, "LAST_REQUEST_S", 0.0)
+
+    async def test() -> None:
+        async with gateway() as it:
+            assert it.downstream.listener is not None
+            address = it.downstream.listener.sockets[0].getsockname()
+            drain = it.downstream.drain()
+            drain.send(None)  # now it waits for the end of accepting
+            queued = socket.create_connection(address)
+            queued.send(ask())
+            drain.send(None)  # which comes in this turn of the loop: it has accepted nothing since
+            end = asyncio.create_task(drain)
+            client = Client(*await asyncio.open_connection(sock=queued))
+            (await it.host.taken.get()).answer()
+            status, head, _ = await client.answer()
+            assert status == 200 and head["connection"] == "close"
+            assert await client.closed()
+            client.writer.close()
+            await end
+
+    run(test())
+
+
 def test_requests_read_ahead_are_answered_before_a_drain_closes() -> None:
     async def test() -> None:
         async with gateway() as it:
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -767,6 +767,18 @@
     assert [s.request for s in sends(driver.end(first, server))] == [second]
 
 
+def test_a_client_that_leaves_while_it_waits_for_its_turn_is_not_sent_on() -> None:
+    driver = Driver(ORDERED)
+    first, actions = driver.arrive(klass=1, key=7)
+    server = sends(actions)[0].server
+    second, _ = driver.arrive(klass=1, key=7)
+    third, _ = driver.arrive(klass=1, key=7)
+    assert not driver.handle(RequestGone(second))
+    assert [s.request for s in sends(driver.end(first, server))] == [third]
+    driver.end(third, server)
+    assert not driver.balancer.requests and not driver.balancer.lines
+
+
 def test_a_key_rests_after_an_attempt_that_may_still_run() -> None:
     driver = Driver(ORDERED)
     first, actions = driver.arrive(klass=1, key=7)
