Keep state only for what is met: a request costs the same at any size

Cause: every listed server held a breaker for each pair of class and tenant (`list_server`), 1.06 kB each, the mean weight was summed anew for each entry of a list, a failure summed the rings of all servers (`common_share`), and a request walked all servers and classes (`is_shed`, `worths`, `max(self.smoothed)`, `retry_after_us`, and the repeats of keyed requests).

Change: rosedeal/evidence.py.

Two tests of breakers look by place instead of over a list; what they assert is the same.

Ruled out: dropping good outcomes of a closed ring sooner. It would open a breaker at another failure.

--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -10,26 +10,23 @@
 
 import math
 import random
+from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum
 from functools import partial
 from operator import attrgetter
 
+from rosedeal.evidence import (
+    MINIMUM, RING, TRIALS, WEIGHT_UNIT, Breaker, Breakers, Demand, Evidence, Latencies, Quotas,
+    Ranking, State,
+)
 from rosedeal.interface import (
     MAY_STILL_RUN, NEVER_RAN, Action, AttemptEnded, Cancel, Effect, Event, Fail, ListedServer, ListKind, Log,
     Outcome, Refuse, RequestArrived, RequestGone, Scope, Send, ServerList, ServerStatus, SetTimer, Settings,
     StreamStarted, TimerFired, WatchList,
 )
 
-# The breaker
-RING = 10  # outcomes: a second or less of one proxy's traffic to one server
-MINIMUM = 5  # outcomes before a verdict: fewer convict on chance
-THRESHOLD = 0.5  # failure share that opens, beyond what all servers fail in common
-TRIALS = 3  # outcomes that decide in half-open
-COOLDOWN_US = 1_000_000  # first cooldown; doubles with each reopening from half-open
-LONGEST_COOLDOWN_US = 8_000_000
 # The weight controller
 FLOOR, CEILING = 0.05, 1.0  # of the controller's weight
 STEP = 0.02  # added by a good answer
@@ -39,6 +36,7 @@
 HINTED = 0.3  # part of the usual latency that goes with the hinted work; the rest is there whatever the work
 # The draw
 SUBSET = 3  # servers a proxy spreads over at the least: few fill their rings, enough outlive a bad third
+WIDE = 64  # servers of a keyed request's scope that its repeat is drawn among, at the most
 REACH_MEMORY = 0.98  # of the widest subset needed of late, left after each request
 UNHINDERED_DOWN = 0.05  # share of the way that the unhindered latency falls to a shorter one
 FEW = 5  # answers: the first move the unhindered latency down by up to a sixth of the way, later ones less
@@ -68,8 +66,6 @@
 HELD_PER_CORE = 1.0  # requests held by a core of the fleet, as live weights tell, beyond which more is shed
 HURRIED_TRIALS = 0.02  # share of the requests given too little time that is sent all the same
 SHED_MOST = 0.95  # what still comes through tells when to shed less
-QUOTA_SPAN_S = 1.0  # of a tenant's quota that may come at once and still be within its share
-MEMORY = 500  # first tries after which the shares of asked and served work count half
 # Cold servers
 FALL_MARGIN = 0.5  # part of the fall budget that is planned with; the rest is for misjudged work and chance
 
@@ -78,112 +74,56 @@
 FIRST_CALL_SHARE = 0.1  # of the time the rules give: the first call to the list service falls within it
 
 
-class State(Enum):
-    CLOSED = "closed"
-    OPEN = "open"
-    HALF_OPEN = "half-open"
-
-
-class Breaker:
-    """Ring of the last outcomes of one server, of all requests or of one kind, and what follows from it."""
+class Server:
+    """What this proxy knows of one server since it last started."""
 
     __slots__ = (
-        "cooldown_us", "episode", "failures", "open_until_us", "ring", "state", "trial_results", "trials_out"
+        "_weight", "breakers", "entry", "failing", "heard_us", "out", "queue", "rank", "reported_us",
+        "service_ms", "spent_at_us", "spent_us",
     )
 
-    def __init__(self) -> None:
-        self.ring: deque[bool] = deque(maxlen=RING)
-        self.failures = 0
-        self.state = State.CLOSED
-        self.open_until_us = 0
-        self.cooldown_us = COOLDOWN_US
-        self.episode = 0  # half-open spells so far: an outcome is a trial's if it was sent in the present one
-        self.trials_out = 0
-        self.trial_results: list[bool] = []
-
-    def lets_through(self, now_us: int) -> bool:
-        """True if closed, or half-open with trials left to give; ends a cooldown that is over."""
-        if self.state is State.CLOSED:
-            return True
-        if self.state is State.OPEN:
-            if now_us < self.open_until_us:
-                return False
-            self.state = State.HALF_OPEN
-            self.episode += 1
-            self.trials_out = 0
-            self.trial_results = []
-        return self.trials_out + len(self.trial_results) < TRIALS
-
-    def take_trial(self) -> int:
-        """The episode an attempt is a trial of, or 0 for an ordinary attempt."""
-        if self.state is not State.HALF_OPEN:
-            return 0
-        self.trials_out += 1
-        return self.episode
-
-    def record(self, now_us: int, failed: bool, trial_of: int, common: float) -> State | None:
-        """Enter an outcome; returns the new state if it opened or closed the breaker."""
-        if self.state is State.HALF_OPEN:
-            if trial_of != self.episode:
-                return None  # in half-open only the trials' outcomes count
-            self.trials_out -= 1
-            self.trial_results.append(failed)
-            bad = sum(self.trial_results)
-            if bad / TRIALS >= THRESHOLD:  # the rest cannot save it
-                self.cooldown_us = min(2 * self.cooldown_us, LONGEST_COOLDOWN_US)
-                return self.open(now_us)
-            return self.close() if len(self.trial_results) == TRIALS else None
-        if len(self.ring) == RING:
-            self.failures -= self.ring[0]
-        self.ring.append(failed)
-        self.failures += failed
-        limit = len(self.ring) * (common + (1.0 - common) * THRESHOLD)
-        if failed and len(self.ring) >= MINIMUM and self.failures >= limit:
-            return self.open(now_us)
-        return None
-
-    def forgo_trial(self, trial_of: int) -> None:
-        """A trial that proved nothing gives its place back."""
-        if self.state is State.HALF_OPEN and trial_of == self.episode:
-            self.trials_out -= 1
-
-    def open(self, now_us: int) -> State:
-        self.state = State.OPEN
-        self.open_until_us = now_us + self.cooldown_us
-        return self.state
-
-    def close(self) -> State:
-        self.state = State.CLOSED
-        self.ring.clear()
-        self.failures = 0
-        self.cooldown_us = COOLDOWN_US
-        return self.state
+    def __init__(self, entry: ListedServer, weight: float, rank: float, evidence: Evidence, now_us: int):
+        self.entry = entry
+        self.rank = rank  # rendezvous hash of this proxy and the server: its place in the subset
+        self.breakers = Breakers(evidence)  # 0 judges all its outcomes; then one a kind of request, from 1
+        self._weight = 0.0
+        self.weight = weight
+        self.out: dict[Attempt, int] = {}  # attempts and when they were sent, oldest first
+        self.heard_us = 0  # when it last answered
+        self.queue = 0.0  # requests of all proxies that wait there, as it last reported
+        self.failing = 0.0  # errors a second to all proxies, as it last reported
+        self.reported_us = 0  # when that was
+        self.service_ms = 0.0  # smoothed service time by its reports; 0: not known
+        self.spent_us = 0.0  # cold only: work sent and not yet paid off
+        self.spent_at_us = now_us
+
+    @property
+    def weight(self) -> float:
+        """The controller's, from FLOOR to CEILING."""
+        return self._weight
 
+    @weight.setter
+    def weight(self, weight: float) -> None:
+        self.breakers.evidence.weights += int(weight * WEIGHT_UNIT) - int(self._weight * WEIGHT_UNIT)
+        self._weight = weight
 
-@dataclass(slots=True, eq=False)
-class Server:
-    """What this proxy knows of one server since it last started."""
+    @property
+    def is_closed(self) -> bool:
+        """Whether the breaker of all its outcomes is closed."""
+        breaker = self.breakers.get(0)
+        return breaker is None or breaker.state is State.CLOSED
 
-    entry: ListedServer
-    weight: float  # of the controller
-    rank: float  # rendezvous hash of this proxy and the server: its place in the subset, lowest first
-    breakers: list[Breaker]  # the first judges all its outcomes; then one a kind of request, in their order
-    out: dict[Attempt, int] = field(default_factory=dict)  # attempts and when they were sent, oldest first
-    heard_us: int = 0  # when it last answered
-    recent: deque[tuple[int, bool]] = field(default_factory=partial(deque, maxlen=2 * RING))  # kind, failed
-    queue: float = 0.0  # requests of all proxies that wait there, as it last reported
-    failing: float = 0.0  # errors a second to all proxies, as it last reported
-    reported_us: int = 0  # when that was
-    service_ms: float = 0.0  # smoothed service time by its reports; 0: not known
-    spent_us: float = 0.0  # cold only: work sent and not yet paid off
-    spent_at_us: int = 0
+    def retire(self) -> None:
+        """It is not listed any more; what is still out there counts for nobody else."""
+        self.breakers.evidence.weights -= int(self._weight * WEIGHT_UNIT)
+        self.breakers.retire()
 
 
 @dataclass(slots=True, eq=False)
 class Attempt:
     server: Server
     sent_us: int
-    trials_of: list[int]  # the half-open spells of its two breakers that it is a trial of
+    trials_of: tuple[int, ...]  # the half-open spells of its two breakers that it is a trial of
     ended: bool = False
     may_have_run: bool = True
     overdue: bool = False
@@ -218,13 +158,20 @@
     moving: bool = False  # its overdue attempt is called off for another, which has been paid for
 
 
-def judges(server: Server, kind: int) -> tuple[Breaker, Breaker]:
-    """The breakers that must let a request through.
+def judges(server: Server, kind: int) -> tuple[Breaker | None, Breaker | None]:
+    """The breakers that must let a request through; None for one with nothing to say, which is closed.
 
     Guards against a server that fails one class or one tenant only: in one ring its failures drown in what
     it serves, and it is kept for all or lost to all.
     """
-    return server.breakers[0], server.breakers[kind + 1]
+    return server.breakers.get(0), server.breakers.get(kind + 1)
+
+
+def scope_of(scope: Scope, server: Server) -> int:
+    """The number of the scope, in which repeats of a keyed request are dropped, that a server is in."""
+    if scope is Scope.ALL:
+        return 0
+    return server.entry.zone if scope is Scope.ZONE else server.entry.group
 
 
 def rendezvous(key: int, server: int, weight: float) -> float:
@@ -247,6 +194,7 @@
         self.actions: list[Action] = []
         self.servers: dict[int, Server] = {}
         self.ranked: list[Server] = []  # the same by rank: the subset is the first of them that may be used
+        self.evidence = Evidence()
         self.sizes: dict[int, float] = {}  # largest listed weight of each kind: live ones sink from it
         self.reach = float(SUBSET)
         self.out = 0  # attempts out everywhere
@@ -260,15 +208,15 @@
         self.list_calls_failed = 0
         classes = settings.classes
         self.tenants = max(1, len(settings.tenants))
-        self.smoothed = [c.aim_us / 4 for c in classes]  # latency of good answers
+        self.smoothed = Latencies(c.aim_us / 4 for c in classes)  # latency of good answers
         self.unhindered = [c.aim_us / 4 for c in classes]  # the same where nothing queued
         self.answers = [0] * len(classes)  # good ones by class
         self.mean_work = [0.0] * len(classes)  # of hints
         self.patience = [(c.give_up_us, 0) for c in classes]  # of first tries, and the votes for it
-        self.quotas = [(t.quota_per_s / settings.proxies * QUOTA_SPAN_S, 0) for t in settings.tenants]
-        self.asked = [0.0] * len(classes)  # within the tenants' shares
-        self.beyond = [0.0] * len(classes)  # the same beyond them
-        self.served = [0.0] * len(classes)
+        self.quotas = Quotas()
+        self.demand = Demand()
+        self.ranking = Ranking(-1, [])
+        self.mean_worth, self.worst_served = 1.0, 1.0  # as of that ranking
         self.service_ms = 0.0  # smoothed service time by the reports of all servers
         self.gap_us = 0.0  # smoothed time between two requests
         self.arrived_us = 0  # when the last one came
@@ -281,6 +229,7 @@
         """Take one event; returns what to do, in order."""
         self.now_us = max(now_us, self.now_us)  # a clock that steps back stands still instead
         self.actions = []
+        self.evidence.lapse(self.now_us)
         if isinstance(event, AttemptEnded):
             self.on_attempt_ended(event)
         elif isinstance(event, RequestArrived):
@@ -327,11 +276,7 @@
             size += HINTED * (event.work_us / mean - 1.0)
         if first_try:
             self.retry_tokens = min(self.retry_tokens + RETRY_SHARE, RETRY_BURST)
-            (self.beyond if over else self.asked)[event.klass] += 1
-            if sum(self.asked) + sum(self.beyond) > MEMORY:
-                self.asked = [n / 2 for n in self.asked]
-                self.beyond = [n / 2 for n in self.beyond]
-                self.served = [n / 2 for n in self.served]
+            self.demand.ask(event.klass, over)
         return Request(
             event.request, event.klass, self.kind(event), event.key, self.now_us + event.patience_us,
             self.now_us + max(0, klass.aim_us - used_us), size, event.work_us, first_try, over,
@@ -340,13 +285,14 @@
     def is_over(self, event: RequestArrived, first_try: bool) -> bool:
         """Whether a request is beyond this proxy's part of its tenant's quota; first tries use that up."""
         tenant = self.kind(event) % self.tenants
-        quota = self.settings.tenants[tenant].quota_per_s / self.settings.proxies if self.quotas else 0.0
-        if not quota:
+        if not self.settings.tenants:
             return False
-        left, at_us = self.quotas[tenant]
-        left = min(quota * QUOTA_SPAN_S, left + quota * (self.now_us - at_us) / 1e6)
+        quota_per_s = self.settings.tenants[tenant].quota_per_s / self.settings.proxies
+        if not quota_per_s:
+            return False
+        left = self.quotas.left(tenant, self.now_us, quota_per_s)
         over = left < 1.0
-        self.quotas[tenant] = (left - (first_try and not over), self.now_us)
+        self.quotas.keep(tenant, self.now_us, left - (first_try and not over))
         return over
 
     def kind(self, event: RequestArrived) -> int:
@@ -377,19 +323,20 @@
         """
         if self.is_hopeless(request):
             return True
-        closed = any(s.breakers[0].state is State.CLOSED for s in self.servers.values())
-        if self.shed <= 0.0 or not closed:
+        if self.shed <= 0.0 or not self.any_closed():
             return False
-        worths = self.worths()
-        grade = request.klass + request.over * len(self.asked)
-        mine = worths[grade]
-        asked, usual_us = self.asked + self.beyond, self.unhindered * 2
-        shares = [a * u for a, u in zip(asked, usual_us, strict=True)]
-        total = sum(shares) or 1.0
-        below = sum(share for share, worth in zip(shares, worths, strict=True) if worth < mine) / total
-        point = below + shares[grade] / total * self.random.random()
+        if self.ranking.is_stale(self.demand.changes):
+            self.rank_work()
+        counts = self.demand.beyond if request.over else self.demand.asked
+        amount = counts.get(request.klass, 0.0) * self.unhindered[request.klass]
+        below = self.ranking.below(self.worth(request.klass, request.over))
+        point = below + amount / self.ranking.whole * self.random.random()
         return point < self.shed
 
+    def any_closed(self) -> bool:
+        """Whether any listed server's breaker of all outcomes is closed."""
+        return self.evidence.shut < len(self.servers)
+
     def is_hopeless(self, request: Request) -> bool:
         """Whether the time given is over, or less than any answer of its class has taken.
 
@@ -403,22 +350,32 @@
         short = left_us < self.unhindered[request.klass] * request.size
         return known and short and self.random.random() >= HURRIED_TRIALS
 
-    def worths(self) -> list[float]:
-        """What the goal gains from each unit of server time, by class, within and beyond the share."""
-        goal, classes = self.settings.goal, self.settings.classes
-        total = sum(self.asked) or 1.0
-        mean = sum(c.worth * a for c, a in zip(classes, self.asked, strict=True)) / total or 1.0
-        fractions = [s / a if a else 1.0 for s, a in zip(self.served, self.asked, strict=True)]
-        worst = min(fractions)
-        worths, beyond = [], []
-        for index, klass in enumerate(classes):
-            unit = 1.0 if self.settings.worth_by_work else self.unhindered[index]
-            gain = (goal.whole + goal.worst_window) * klass.worth / mean / unit
-            beyond.append(gain * self.settings.over_share_worth)
-            if fractions[index] == worst and self.asked[index]:
-                gain += goal.worst_class * total / self.asked[index] / unit
-            worths.append(gain)
-        return worths + beyond
+    def rank_work(self) -> None:
+        """Put what has been asked of late in order of worth; with many classes only once in a while."""
+        classes, demand = self.settings.classes, self.demand
+        total = sum(demand.asked.values()) or 1.0
+        self.mean_worth = sum(classes[i].worth * n for i, n in sorted(demand.asked.items())) / total or 1.0
+        served = [demand.served.get(i, 0.0) / n for i, n in demand.asked.items()]
+        if len(served) < len(classes):
+            served.append(1.0)  # of those that nobody asked for nothing is left undone
+        self.worst_served = min(served)
+        graded = [
+            (self.worth(i, over), n * self.unhindered[i])
+            for over, counts in ((False, demand.asked), (True, demand.beyond)) for i, n in counts.items()
+        ]
+        self.ranking = Ranking(demand.changes, graded)
+
+    def worth(self, index: int, over: bool) -> float:
+        """What the goal gains from each unit of server time for a class, within or beyond the share."""
+        goal, demand = self.settings.goal, self.demand
+        unit = 1.0 if self.settings.worth_by_work else self.unhindered[index]
+        gain = (goal.whole + goal.worst_window) * self.settings.classes[index].worth / self.mean_worth / unit
+        if over:
+            return gain * self.settings.over_share_worth
+        asked = demand.asked.get(index, 0.0)
+        if asked and demand.served.get(index, 0.0) / asked <= self.worst_served:
+            gain += goal.worst_class * (demand.within or 1.0) / asked / unit
+        return gain
 
     def adjust_limit(self, request: Request, event: AttemptEnded) -> None:
         """Feedback like the weights': down after an answer that waited too long, up after a prompt one."""
@@ -486,13 +443,20 @@
 
         That is when what is out beyond the limit may have been answered.
         """
+        answers = max(self.out - self.limit, self.told / SHED_STEP)
+        shed_us = answers * self.smoothed.largest / max(1, self.out)
+        most_us = self.settings.max_retry_after_us
+        return max(0, min(max(self.cooldown_left_us(request.kind), int(shed_us)), most_us))
+
+    def cooldown_left_us(self, kind: int) -> int:
+        """The shortest cooldown left, or 0 where a server is not open to this kind of request."""
+        if self.evidence.opened < len(self.servers):
+            return 0  # fewer are open than there are servers
         cooldowns = []
         for server in self.servers.values():
-            opened = [b.open_until_us for b in judges(server, request.kind) if b.state is State.OPEN]
+            opened = [b.open_until_us for b in judges(server, kind) if b and b.state is State.OPEN]
             cooldowns.append(max(opened, default=self.now_us) - self.now_us)
-        answers = max(self.out - self.limit, self.told / SHED_STEP)
-        shed_us = answers * max(self.smoothed) / max(1, self.out)
-        return max(0, min(max(min(cooldowns, default=0), int(shed_us)), self.settings.max_retry_after_us))
+        return min(cooldowns, default=0)
 
     def finish(self, request: Request) -> None:
         request.done = True
@@ -585,7 +549,8 @@
         if server is None:
             return False
         klass = self.settings.classes[request.klass]
-        attempt = Attempt(server, self.now_us, [b.take_trial() for b in judges(server, request.kind)])
+        trials_of = tuple(b.take_trial() if b else 0 for b in judges(server, request.kind))
+        attempt = Attempt(server, self.now_us, trials_of)
         request.attempts.append(attempt)
         request.out += 1
         server.out[attempt] = self.now_us
@@ -655,7 +620,7 @@
         elif event.finished or event.outcome is Outcome.OK:
             within = request.first_try and not request.over
             if event.outcome is Outcome.OK and within and self.now_us <= request.aim_us:
-                self.served[request.klass] += 1
+                self.demand.serve(request.klass)
             self.finish(request)
         elif request.out == 0:
             self.try_again(request)
@@ -698,18 +663,26 @@
         klass = self.settings.classes[request.klass]
         ran = [a for a in request.attempts if a.may_have_run]
         servers = [s for s in self.subset(request.kind) if s not in tried]
-        if ran and klass.effect is Effect.UNSAFE:
+        if not ran or klass.effect is Effect.SAFE:
+            return servers
+        if klass.effect is Effect.UNSAFE or self.now_us - ran[0].sent_us >= klass.window_us:
             return []
-        if ran and klass.effect is Effect.KEYED:
-            if self.now_us - ran[0].sent_us >= klass.window_us:
-                return []
-            servers = [s for s in self.ranked if s not in tried and self.is_eligible(s, request.kind)]
-            reached = self.ranked[: math.ceil(self.reach)]
-            servers = [s for s in servers if s in reached or self.cold_share(s) >= 1.0]
-            if klass.scope is Scope.ZONE:
-                servers = [s for s in servers if all(s.entry.zone == a.server.entry.zone for a in ran)]
-            elif klass.scope is Scope.GROUP:
-                servers = [s for s in servers if all(s.entry.group == a.server.entry.group for a in ran)]
+        known = {scope_of(klass.scope, attempt.server) for attempt in ran}
+        return self.repeaters(request.kind, tried, klass.scope, known)
+
+    def repeaters(self, kind: int, tried: list[Server], scope: Scope, known: set[int]) -> list[Server]:
+        """The first in rank of those that drop a keyed request's repeats: in the scope where it may have run.
+
+        They may lie beyond the reach, since there may be none within it.
+        """
+        servers: list[Server] = []
+        for place, server in enumerate(self.ranked):
+            if len(servers) >= WIDE:
+                break
+            if server in tried or known != {scope_of(scope, server)} or not self.is_eligible(server, kind):
+                continue
+            if place < self.reach or self.cold_share(server) >= 1.0:
+                servers.append(server)
         return servers
 
     # The pick
@@ -721,7 +694,7 @@
         weights = [(weight, server) for weight, server in weights if weight > 0.0]
         if self.settings.classes[request.klass].effect is Effect.UNSAFE:
             # Trials risk their request: what could not be repeated goes to closed servers if there are any.
-            weights = [w for w in weights if w[1].breakers[0].state is State.CLOSED] or weights
+            weights = [w for w in weights if w[1].is_closed] or weights
         if not weights:
             return None
         total = sum(weight for weight, _ in weights)
@@ -782,16 +755,19 @@
         return 1.0 / (1.0 + AWAY * self.settings.prices.cross_zone * (entry.zone != self.settings.zone))
 
     def is_eligible(self, server: Server, kind: int) -> bool:
-        ready = server.entry.status is ServerStatus.READY and not self.is_silent(server)
-        return ready and all(b.lets_through(self.now_us) for b in judges(server, kind))
+        if server.entry.status is not ServerStatus.READY or self.is_silent(server):
+            return False
+        return all(b is None or b.lets_through(self.now_us) for b in judges(server, kind))
 
     def is_silent(self, server: Server) -> bool:
         """True while an attempt sent since the last answer is overdue: nothing more until there is news.
 
         One that is overdue while later ones are answered tells of itself, not of its server.
         """
+        if not server.out:
+            return False
         sent_us = next((at_us for at_us in server.out.values() if at_us >= server.heard_us), self.now_us)
-        return self.now_us - sent_us > OVERDUE * max(self.smoothed)
+        return self.now_us - sent_us > OVERDUE * self.smoothed.largest
 
     # Judging servers
 
@@ -801,7 +777,8 @@
         hurried = outcome is Outcome.TIMEOUT and event.latency_us < SLOW * self.expected_us(request)
         if hurried or outcome is Outcome.MOOT or (outcome is Outcome.CANCELLED and not attempt.overdue):
             for breaker, trial_of in zip(judges(server, request.kind), attempt.trials_of, strict=True):
-                breaker.forgo_trial(trial_of)
+                if breaker is not None:
+                    breaker.forgo_trial(trial_of)
             if hurried:
                 self.adjust_limit(request, event)  # no server's fault, but all may be crowded
             return
@@ -809,9 +786,10 @@
         ratio = 0.0 if failed else event.latency_us / max(1.0, self.expected_us(request))
         if not failed:
             self.learn_latency(request, event.latency_us)
-        server.recent.append((request.kind, failed))
+        server.breakers.recent.append((request.kind, failed))
+        del server.breakers.recent[: -2 * RING]
         own = failed and self.is_own(server, request)
-        if server.breakers[0].state is State.CLOSED and not own:  # else it keeps the weight it had
+        if server.is_closed and not own:  # else it keeps the weight it had
             self.adjust_weight(server, failed or ratio > SLOW)
         self.adjust_limit(request, event)
         for place, trial_of in zip((0, request.kind + 1), attempt.trials_of, strict=True):
@@ -834,7 +812,7 @@
         for place in (0, 1):
             mine: list[bool] = []
             others: list[bool] = []
-            for kind, failed in server.recent:
+            for kind, failed in server.breakers.recent:
                 alike = divmod(kind, self.tenants)[place] == divmod(request.kind, self.tenants)[place]
                 (mine if alike else others).append(failed)
             if sum(mine) >= TRIALS and len(others) >= MINIMUM and not any(others):
@@ -844,6 +822,7 @@
     def learn_latency(self, request: Request, latency_us: int) -> None:
         index, latency = request.klass, latency_us / request.size
         self.smoothed[index] += SMOOTHING * (latency - self.smoothed[index])
+        self.demand.changes += 1
         floor = self.unhindered[index]
         # It begins above what is likely and follows the first answers faster: a proxy that has just started
         # would otherwise take a jam for the usual. Not at once: one short answer is no measure.
@@ -860,10 +839,7 @@
 
     def common_share(self, server: Server, place: int) -> float:
         """Failure share of the other servers' rings: what no single server is to blame for."""
-        others = [s.breakers[place] for s in self.servers.values() if s is not server]
-        closed = [b for b in others if b.state is State.CLOSED]
-        entries = sum(len(b.ring) for b in closed)
-        return sum(b.failures for b in closed) / entries if entries else 0.0
+        return self.evidence.failure_share(place, server.breakers.get(place))
 
     # Cold servers
 
@@ -924,12 +900,14 @@
             self.set_timer(self.now_us + int(wait_us), self.ask_for_list)
         else:
             self.list_calls_failed = 0
+        gone: list[Server] = []
         if event.kind is not ListKind.DELTA:
             named = {entry.server for entry in event.servers}
-            self.servers = {number: s for number, s in self.servers.items() if number in named}
+            gone = [self.delist(number) for number in self.servers.keys() - named]
+        new: list[Server] = []
         for entry in event.servers:
-            self.list_server(entry)
-        self.ranked = sorted(self.servers.values(), key=attrgetter("rank"))
+            self.list_server(entry, gone, new)
+        self.rank_servers(gone, new)
         if self.settings.live_weights and self.servers:
             self.heed_live_weights()
 
@@ -947,25 +925,45 @@
         if not self.settings.list_is_pushed:
             self.actions.append(WatchList())
 
-    def list_server(self, entry: ListedServer) -> None:
+    def list_server(self, entry: ListedServer, gone: list[Server], new: list[Server]) -> None:
         known = self.servers.get(entry.server)
         if entry.status is ServerStatus.GONE:
-            self.servers.pop(entry.server, None)
+            if known is not None:
+                gone.append(self.delist(entry.server))
         elif known is None or known.entry.started_us != entry.started_us:
-            weights = [s.weight for s in self.servers.values() if s is not known]
-            mean = sum(weights) / len(weights) if weights else CEILING
+            if known is not None:
+                gone.append(self.delist(entry.server))
+            mean = self.evidence.weights / WEIGHT_UNIT / len(self.servers) if self.servers else CEILING
             rank = rendezvous(self.settings.proxy, entry.server, self.nearness(entry))
-            breakers = [Breaker() for _ in range(len(self.settings.classes) * self.tenants + 1)]
-            server = Server(entry, mean, rank, breakers, spent_at_us=self.now_us)
+            server = Server(entry, mean, rank, self.evidence, self.now_us)
             # Hundreds of proxies hear of a cold server at once and each may send one request at the least:
             # each begins with a random part of that spent, so that these firsts do not come together.
-            usual_us = max(self.smoothed)
-            server.spent_us = self.random.random() * max(usual_us, self.fall_budget_us() / 2)
+            server.spent_us = self.random.random() * max(self.smoothed.largest, self.fall_budget_us() / 2)
             self.servers[entry.server] = server
+            new.append(server)
         else:
             known.entry = entry
         self.sizes[entry.kind] = max(entry.weight, self.sizes.get(entry.kind, FLOOR))
 
+    def delist(self, number: int) -> Server:
+        server = self.servers.pop(number)
+        server.retire()
+        return server
+
+    def rank_servers(self, gone: list[Server], new: list[Server]) -> None:
+        """Bring the ranks in step with the servers: a few are moved, after a whole list all are sorted."""
+        if len(gone) + len(new) > len(self.servers) / 8:
+            self.ranked = sorted(self.servers.values(), key=attrgetter("rank"))
+            return
+        fresh = set(new)  # a list may name one twice
+        for server in gone:
+            if server not in fresh:
+                place = bisect_left(self.ranked, server.rank, key=attrgetter("rank"))
+                del self.ranked[self.ranked.index(server, place)]
+        for server in new:
+            if self.servers.get(server.entry.server) is server:
+                insort(self.ranked, server, key=attrgetter("rank"))
+
     def log(self, line: str) -> None:
         """Say what was seen, at most so often: a wide failure must not bury its own beginning."""
         if self.now_us - self.logged_us >= LOG_GAP_US:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -22,7 +22,8 @@
     SetTimer,
     Settings,
 )
-from rosedeal.choice import MINIMUM, Balancer, Breaker, State
+from rosedeal.choice import Balancer
+from rosedeal.evidence import MINIMUM, Breaker, State
 
 SAFE = RequestClass(aim_us=200_000, give_up_us=400_000, worth=3.0, late_worth=0.2, effect=Effect.SAFE)
 KEYED = RequestClass(
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -4,18 +4,8 @@
 
 from tests.helpers import SETTINGS, Driver, sends, trip
 from rosedeal.interface import ListedServer, ListKind, Outcome, Tenant
-from rosedeal.choice import (
-    CEILING,
-    COOLDOWN_US,
-    CUT,
-    FLOOR,
-    MINIMUM,
-    RING,
-    STEP,
-    TRIALS,
-    Breaker,
-    State,
-)
+from rosedeal.choice import CEILING, CUT, FLOOR, STEP
+from rosedeal.evidence import COOLDOWN_US, MINIMUM, RING, TRIALS, Breaker, State
 
 
 def tripped() -> Breaker:
@@ -180,7 +170,7 @@
         server = sends(actions)[0].server
         failed = server == 0 and n % 3 == 2
         driver.end(name, server, Outcome.ERROR if failed else Outcome.OK)
-    states = [breaker.state for breaker in driver.balancer.servers[0].breakers]
+    states = [driver.balancer.servers[0].breakers[place].state for place in range(4)]
     assert states == [State.CLOSED, State.CLOSED, State.CLOSED, State.OPEN]
     to_0 = dict.fromkeys(range(3), 0)
     for n in range(60):
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -29,20 +29,17 @@
     WatchList,
 )
 from rosedeal.choice import (
-    COOLDOWN_US,
     LIMIT_CUT,
     LIMIT_FIRST,
     LIMIT_LEAST,
     LIMIT_STEP,
     LOG_GAP_US,
     OVERDUE,
-    RING,
     SHED_STEP,
     SUBSET,
-    Breaker,
-    State,
     rendezvous,
 )
+from rosedeal.evidence import COOLDOWN_US, RING, State, Breakers
 
 
 def test_an_unsafe_request_that_may_have_run_fails_at_once() -> None:
@@ -418,14 +415,16 @@
             driver = Driver(replace(COLD, proxies=2), servers=0)
             driver.list_servers(ListedServer(1, started_us=driver.now_us))
             driver.balancer.unhindered = [10_000.0] * 3
-            driver.balancer.smoothed = [500_000.0 if jammed else 20_000.0] * 3
+            driver.balancer.smoothed[:] = [500_000.0 if jammed else 20_000.0] * 3
             count = 0
             for _ in range(200):
                 name, actions = driver.arrive(**({"work_us": hint} if hint else {}))
                 if sends(actions):
                     count += 1
                     driver.end(name, 1, Outcome.ERROR if jammed else Outcome.OK)
-                    driver.balancer.servers[1].breakers = [Breaker() for _ in range(4)]
+                    server = driver.balancer.servers[1]
+                    server.breakers.retire()
+                    server.breakers = Breakers(driver.balancer.evidence)
                 driver.now_us += 10_000
             sent.append(count)
     assert sent[1] >= sent[0] * 0.9 and sent[3] >= sent[2] * 0.9
@@ -539,8 +538,8 @@
     dear = replace(SAFE, worth=10.0)
     driver = Driver(Settings(classes=(cheap, dear)))
     for number in range(100):
-        driver.balancer.asked[number % 2] += 2
-        driver.balancer.served[number % 2] += 2
+        driver.balancer.demand.asked[number % 2] += 2
+        driver.balancer.demand.served[number % 2] += 2
     driver.balancer.limit = 6.2 + 3 * LIMIT_CUT * LIMIT_STEP  # 6.2 after three long answers, with 9 out
     held = [driver.arrive(klass=1) for _ in range(9)]
     for latency_us, shed in ((390_000, [True, False]), (5_000, [False, False])):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -264,7 +264,7 @@
         (unsafe,), start_capacity=0.25, warm_after_us=8_000_000, fall_multiple=multiple, proxies=proxies
     )
     balancer = Balancer(cold, 3)
-    balancer.smoothed, balancer.unhindered = [10_000.0], [10_000.0]
+    balancer.smoothed[:], balancer.unhindered = [10_000.0], [10_000.0]
     now_us = START_US
     entries = (ListedServer(1, started_us=now_us), ListedServer(2, weight=0.001))
     balancer.handle(now_us, ServerList(ListKind.FULL, entries))
