Sum a fleet's first requests to a cold server in a test, for 20 to 490 proxies

The rule allows N + 2 x root of N + 2 requests of mean work in a fall window, by all processes together, and every proxy may always send its first one. It holds as it is: each begins with a random part of the budget spent (`list_server`), and drains its part only. The test tells all proxies of one start within a second and asks them all at once, each second or after 8 s of quiet, with every other server hardly ever drawn. It fails without the random part, without `cold_room`, and with the whole budget for each.

--- /dev/null
+++ b/tests/test_cold_fleet.py
@@ -0,0 +1,82 @@
+"""Rule 4 by the whole fleet: what all proxies together send a cold server, against what it can bear then."""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_left
+from dataclasses import replace
+
+import pytest
+
+from tests.helpers import START_US
+from rosedeal.choice import Balancer
+from rosedeal.interface import (
+    AttemptEnded,
+    Effect,
+    ListedServer,
+    ListKind,
+    Outcome,
+    RequestArrived,
+    RequestClass,
+    Send,
+    ServerList,
+    Settings,
+)
+
+COLD_ID = 1
+WORK_US = 60_000  # of a request on one core, as its hint tells where there is one
+SETTINGS = Settings(
+    (RequestClass(aim_us=400_000, give_up_us=2_000_000, effect=Effect.SAFE),),
+    start_capacity=0.13,
+    warm_after_us=23_000_000,
+    fall_multiple=2.5,
+    fall_us=3_000_000,
+    max_attempts=1,
+)
+
+
+def first_told_us(proxy: int, proxies: int) -> int:
+    """Lists reach the proxies one after another, over a second."""
+    return START_US + 1_000_000 * proxy // proxies
+
+
+def sent_to_the_cold_one(proxies: int, servers: int, hint: int | None, bursts_us: range) -> list[int]:
+    """When each request was sent to the cold server: it starts, all are told, then all are asked at once."""
+    fleet = []
+    for proxy in range(proxies):
+        own = replace(SETTINGS, proxies=proxies, proxy=proxy)
+        fleet.append(Balancer(own, seed=proxy))
+    for proxy, balancer in enumerate(fleet):
+        entries = [ListedServer(COLD_ID, started_us=START_US)]
+        entries += [ListedServer(COLD_ID + n, weight=1e-9) for n in range(1, servers)]  # hardly ever drawn
+        balancer.handle(first_told_us(proxy, proxies), ServerList(ListKind.FULL, tuple(entries)))
+    sent_us: list[int] = []
+    for at_us in bursts_us:
+        for proxy, balancer in enumerate(fleet):
+            for n in range(2):
+                now_us = max(START_US + at_us, first_told_us(proxy, proxies))
+                name = f"{at_us}-{n}"
+                actions = balancer.handle(now_us, RequestArrived(name, 0, 1_000_000, work_us=hint))
+                for send in (action for action in actions if isinstance(action, Send)):
+                    sent_us += [now_us] * (send.server == COLD_ID)
+                    end = AttemptEnded(name, 0, send.server, Outcome.OK, WORK_US, finished=True)
+                    balancer.handle(now_us, end)
+    return sorted(sent_us)
+
+
+@pytest.mark.parametrize("hint", [None, WORK_US])
+@pytest.mark.parametrize("bursts", [range(0, 23_000_000, 1_000_000), range(8_000_000, 23_000_000, 7_000_000)])
+@pytest.mark.parametrize(("proxies", "servers"), [(20, 10), (30, 4), (200, 60), (490, 10)])
+def test_all_proxies_together_keep_to_a_cold_server_s_budget(
+    proxies: int, servers: int, bursts: range, hint: int | None
+) -> None:
+    """Each may always send its first request, whatever the budget; these firsts must not come together."""
+    sent_us = sent_to_the_cold_one(proxies, servers, hint, bursts)
+    assert sent_us, "the ramp lets nothing through"
+    for index, first_us in enumerate(sent_us):
+        share = SETTINGS.start_capacity + (1 - SETTINGS.start_capacity) * (first_us - START_US) / 23_000_000
+        allowed = SETTINGS.fall_multiple * share * SETTINGS.fall_us / WORK_US
+        count = bisect_left(sent_us, first_us + SETTINGS.fall_us) - index
+        assert (
+            count <= allowed + 2 * math.sqrt(allowed) + 2
+        ), f"{count} of {allowed:.1f} at {first_us - START_US}"
