Take an answer of discovery that trickles in for silent, as what it tells counts as told

Cause: every byte that came put off the end of the silence (data_received called heard), so that a head or a list that trickles held its call for as long as it liked: on a fake clock, a byte every 0.5 s, the change of the next call was heard up to 91.8 s (head) and 68.3 s (list) after discovery had it.

Change: heard now is the end of an answer's head, the end of a message or of an empty line, and the first byte of a message that follows one. So a head, the first message and each later message have 3 s to be whole.

Ruled out: one limit from the start of a call to its first message, since a watch may have nothing to tell but its empty lines; these count as heard as before. A list of 4,200 servers has 0.6 MB, so 0.2 MB/s are asked for.

--- a/rosedeal/gateway/discovery.py
+++ b/rosedeal/gateway/discovery.py
@@ -28,7 +28,8 @@
 TOLD_S = 6.0
 QUEUED_S = 2.0
 # A watch sends a line every 2 s. Guards against one that is open and says nothing more, as when the machine
-# at its other end has vanished: the list would go stale unseen.
+# at its other end has vanished: the list would go stale unseen. The same goes for one that trickles: heard is
+# the end of a head, of a message or of an empty line, and the first byte of a message but the first.
 SILENCE_S = 3.0
 # A machine that is cut off swallows the first packet, and it is sent again after 1 s.
 CONNECT_S = 1.2
@@ -119,6 +120,7 @@
         self.rest = b""  # of a line that has not ended
         self.lines: list[bytes] = []  # of an object that has not ended
         self.depth = 0  # of its braces and brackets
+        self.ended = 0  # objects, rubbish and empty lines so far
 
     def feed(self, data: bytes) -> list[bytes]:
         *lines, self.rest = (self.rest + data).split(b"\n")
@@ -138,11 +140,13 @@
             cut, self.lines, self.depth = b"\n".join(self.lines), [], 0
             return [cut, *self.add(line)]
         if not line.strip():
+            self.ended += 1
             return []
         self.lines.append(line)
         self.depth += depth
         if self.depth > 0:
             return []
+        self.ended += 1
         message, self.lines, self.depth = b"\n".join(self.lines), [], 0
         return [message]
 
@@ -184,7 +188,6 @@
         self.silence = self.discovery.loop.call_later(SILENCE_S, self.fail, "silent for too long")
 
     def data_received(self, data: bytes) -> None:
-        self.heard()
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -197,16 +200,22 @@
         status = self.parser.get_status_code()
         if status != 200:
             self.fail(f"answered {status}")
+        elif not self.over:
+            self.heard()
 
     def on_body(self, body: bytes) -> None:
         if self.over:
             return
+        ended = self.messages.ended
+        begins = ended > 0 and not self.messages.size
         if self.watch:
             for message in self.messages.feed(body):
                 if not self.over:
                     self.read(message)
         else:
             self.whole += body
+        if not self.over and (begins or self.messages.ended > ended):
+            self.heard()
         if self.messages.size + len(self.whole) > LINE_LIMIT:
             self.fail("a list too long")
 
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -58,6 +58,12 @@
             return
         if early and self.before == "falls silent":
             return
+        if early:
+            head = OPENED if self.before == "trickles a list" else b""
+            call.data_received(head)
+            for number, byte in enumerate(CHANGED[len(head) :]):
+                self.call_later(0.5 * number, call.data_received, bytes([byte]))
+            return
         late_s, answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
         self.call_later(late_s, call.data_received, answer)
 
@@ -103,6 +109,8 @@
     "it was cut off, and the next watch falls silent": ("swallows", [(60.0, b""), PROMPT]),
     "an open watch falls silent, and the next call is turned away": ("opens", [TURNED_AWAY, PROMPT]),
     "a call falls silent, and the next queues": ("falls silent", [QUEUED]),
+    "an answer's head trickles in, and the next call queues": ("trickles its head", [QUEUED]),
+    "a list trickles in, and the next call queues": ("trickles a list", [QUEUED]),
 }
 
 
