Read the settings of the configuration once, not written out and read anew

Cause: parse_config wrote the settings out as JSON for parse_settings, which read them again, beside the object that the file had been read into.

Change: wire.read_settings takes the object; parse_settings reads its text and calls it. Both readings are equal, which the test checks beside the number of readings; it fails without the change.

--- a/rosedeal/gateway/config.py
+++ b/rosedeal/gateway/config.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from rosedeal.interface import Settings
-from rosedeal.wire import WireError, parse_settings
+from rosedeal.wire import WireError, read_settings
 
 Address = tuple[str, int]
 
@@ -87,7 +87,7 @@
     if not isinstance(known, dict) or not isinstance(known.get("endpoints", []), list):
         raise ConfigError("known is not a list of hosts")
     try:
-        parsed = parse_settings(json.dumps(settings))
+        parsed = read_settings(settings)
     except WireError as error:
         raise ConfigError(str(error)) from None
     peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
--- a/rosedeal/wire.py
+++ b/rosedeal/wire.py
@@ -113,6 +113,11 @@
         raise WireError(f"settings are not JSON: {error}") from None
     if not isinstance(raw, dict):
         raise WireError("settings are not an object")
+    return read_settings(raw)
+
+
+def read_settings(raw: dict[str, Any]) -> Settings:
+    """The same from the object itself; WireError where it cannot be used."""
     try:
         return _settings(raw)
     except ValueError as error:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -17,7 +17,9 @@
 import pytest
 
 from rosedeal.gateway import downstream
+from rosedeal.gateway.config import load_config
 from rosedeal.interface import AttemptEnded, PeerMessage, TellPeers
+from rosedeal.wire import parse_settings
 from tests.sockets import PATIENCE_S, Client, Host, Registry, ask, configuration, gateway, run, settings
 
 
@@ -69,6 +71,23 @@
     assert line.startswith("rosedeal: ") and named in line
 
 
+def test_a_large_configuration_is_read_once(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The settings were written out and read once more, which took the most memory of the start."""
+    raw = configuration({}, "127.0.0.1:1", settings={**settings(), "tenants": [{"name": "t"}] * 1_000})
+    path, loads = tmp_path / "config.json", json.loads
+    path.write_text(json.dumps(raw))
+    written, read = json.dumps(raw["settings"]), list[int]()
+
+    def reading(text: str) -> Any:
+        read.append(len(text))
+        return loads(text)
+
+    monkeypatch.setattr(json, "loads", reading)
+    config = load_config({"ROUTER_CONFIG": str(path)})
+    assert read == [path.stat().st_size]
+    assert config.settings == parse_settings(written) and len(config.names.tenants) == 1_000
+
+
 def test_a_missing_configuration_is_one_line_and_a_failure(tmp_path: Path) -> None:
     for done in (start(""), start(tmp_path / "none.json")):
         assert done.returncode != 0 and len(done.stderr.splitlines()) == 1
