Let idle clients keep nobody from hearing whether the gateway is ready

Cause: beyond the limit and the 32 connections over it that are answered 503, each new connection was told 503 as it came, also one that was to ask for /health/ready. Idle clients that fill these places made a ready gateway look like one that is not, for the 2 s in which none of them may be closed; and later too, as the one that had been chosen to make room was still counted when the new one came.

Change: Downstream.add makes room for a new connection among those that are told 503, by the oldest that has asked nothing: it hears its 503 then, and not the newest as it comes. Those chosen to make room take two turns of the loop to close, so that up to 8 connections more may be open meanwhile; beyond these the newest is turned away as before. One that is closing already is no longer chosen.

--- a/rosedeal/gateway/downstream.py
+++ b/rosedeal/gateway/downstream.py
@@ -41,7 +41,8 @@
 )
 UNREAD_DRAIN_S = 3.0  # for a client to read an answer that it was given
 FINISH_POLL_S = 0.01
-TURNED_AWAY = RESERVED_SOCKETS // 2  # connections over the limit that are told 503 at once
+TURNED_AWAY = RESERVED_SOCKETS // 2  # connections over the limit that are told 503, and whether it is ready
+ON_THEIR_WAY = RESERVED_SOCKETS // 8  # connections beyond these, until those chosen to make room have closed
 
 # Between two machines only, or written anew by the gateway.
 HOP_HEADERS = frozenset(
@@ -62,6 +63,7 @@
 )
 # What a request is and how long it may take: given twice, the host might read another than the gateway.
 SINGLE_HEADERS = frozenset((b"request-id", b"request-class", b"tenant", b"request-timeout-ms"))
+TOO_MANY = plain(503, "too many connections")
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -219,6 +221,10 @@
     def idle(self) -> bool:
         return self.current is None and not self.waiting and not self.reading and not self.lingering
 
+    @property
+    def may_make_room(self) -> bool:
+        return self.idle and not self.leaving and not self.closing
+
     @property
     def is_half_sent(self) -> bool:
         """A part of a request has come, and it is the only one."""
@@ -293,6 +299,8 @@
         if turns > 0:
             self.server.loop.call_soon(self.leave, turns - 1)
         elif self.idle:
+            if self.refusing:
+                self.write(answer_bytes(TOO_MANY, True, False))
             self.close()
 
     def close(self) -> None:
@@ -325,18 +333,24 @@
         self.loop.call_later(SWEEP_S, self.sweep)
 
     def add(self, connection: ClientConnection) -> None:
-        """Guards against running out of descriptors: idle connections go first, then new ones hear 503."""
-        if len(self.connections) >= self.limit:
+        """Guards against running out of descriptors: idle connections go first, then new ones hear 503.
+
+        Of those that hear 503 the oldest that has asked nothing goes first. So idle clients, however many,
+        keep no new one from hearing whether the gateway is ready.
+        """
+        over = len(self.connections) - self.limit
+        if over >= 0:
             quiet_by = self.loop.time() - KEPT_S
-            idle = [c for c in self.connections if c.idle and not c.leaving and c.quiet_since <= quiet_by]
+            idle = [c for c in self.connections if c.may_make_room and c.quiet_since <= quiet_by]
+            connection.refusing = not idle
+            if over >= TURNED_AWAY and not idle:
+                idle = [c for c in self.connections if c.may_make_room and c.refusing and not c.asked]
             if idle:
                 min(idle, key=lambda c: c.quiet_since).leave()
-            else:
-                connection.refusing = True
+            if over >= TURNED_AWAY + (ON_THEIR_WAY if idle else 0):
+                connection.write(answer_bytes(TOO_MANY, True, False))
+                connection.close()
         self.connections.add(connection)
-        if len(self.connections) > self.limit + TURNED_AWAY:
-            connection.write(answer_bytes(plain(503, "too many connections"), True, False))
-            connection.close()
 
     def drop(self, connection: ClientConnection) -> None:
         self.connections.discard(connection)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -494,6 +494,30 @@
     run(test())
 
 
+@pytest.mark.parametrize("old", [False, True])
+def test_idle_clients_keep_no_new_one_from_hearing_whether_it_is_ready(old: bool) -> None:
+    """Beyond the limit each new connection was told 503 at once, whatever it was to ask."""
+
+    async def test() -> None:
+        async with gateway(limits={"sockets": 128}) as it:
+            most = it.downstream.limit + downstream.TURNED_AWAY
+            idle = [await it.client() for _ in range(most)]
+            await until(lambda: len(it.downstream.connections) == most)
+            for connection in it.downstream.connections if old else ():
+                connection.quiet_since -= downstream.KEPT_S
+            for _ in range(most):
+                asks = await it.client()
+                status, _, text = await asks.ask(b"GET /health/ready HTTP/1.1\r\n\r\n")
+                assert (status, text) == (200, b"ready\n")
+                idle.append(await it.client())
+                assert len(it.downstream.connections) <= most + downstream.ON_THEIR_WAY
+            first = idle[0 if old else it.downstream.limit]
+            assert old or (await first.answer())[0] == 503
+            assert await first.closed()
+
+    run(test())
+
+
 def test_connections_to_hosts_are_bounded() -> None:
     async def test() -> None:
         async with gateway() as it:
