Begin lab/ with the decisions alone at a size

The cost of one Balancer by servers, routes and tenants was not measured anywhere, and work on the module needs that measure first.

Bad arguments are one line and exit code 2.

--- /dev/null
+++ b/lab/__main__.py
@@ -0,0 +1,119 @@
+"""Commands: `python -m lab module` and `python -m lab scale`."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+import psutil
+
+from lab import module
+from lab.tables import table
+
+DEFAULT_SIZES = ("10x3x2", "200x3x2", "4200x3x2", "10x3400x2", "10x3x2300")
+POLL_S = 0.05
+
+
+class OneLine(click.Group):
+    """Says in one line what is wrong with the arguments, and ends with 2."""
+
+    def main(self, *args: Any, **kwargs: Any) -> Any:
+        kwargs["standalone_mode"] = False
+        try:
+            code = super().main(*args, **kwargs)
+        except click.Abort:
+            sys.exit(130)
+        except click.exceptions.NoArgsIsHelpError:
+            print("lab: no command; there are module and scale (--help tells more)", file=sys.stderr)
+            sys.exit(2)
+        except click.ClickException as error:
+            print(f"lab: {error.format_message()}", file=sys.stderr)
+            sys.exit(2)
+        sys.exit(code if isinstance(code, int) else 0)
+
+
+@click.group(cls=OneLine)
+def lab() -> None:
+    """Measure rosedeal at a size, all on loopback."""
+
+
+def half_of_memory_mb() -> int:
+    return int(psutil.virtual_memory().total / 2e6)
+
+
+def parse_size(text: str) -> tuple[int, int, int]:
+    parts = text.split("x")
+    if len(parts) != 3 or not all(part.isascii() and part.isdigit() and int(part) > 0 for part in parts):
+        raise click.BadParameter(f"{text!r} is not of the form SERVERSxROUTESxTENANTS")
+    servers, routes, tenants = map(int, parts)
+    return servers, routes, tenants
+
+
+def check_out(context: click.Context, parameter: click.Parameter, value: Path | None) -> Path | None:
+    """A result that cannot be written is known before the run, not after."""
+    if value is not None and (value.is_dir() or not value.parent.is_dir()):
+        raise click.BadParameter(f"{value} cannot be written")
+    return value
+
+
+def bounded(arguments: list[str], memory_mb: int) -> dict[str, Any]:
+    """What a child prints as JSON; it is ended once it holds more than `memory_mb` megabytes."""
+    with subprocess.Popen([sys.executable, "-m", *arguments], stdout=subprocess.PIPE, text=True) as child:
+        try:
+            process = psutil.Process(child.pid)
+            while child.poll() is None:
+                if process.memory_info().rss > memory_mb * 1e6:
+                    return {"failed": f"over the bound of {memory_mb} MB"}
+                time.sleep(POLL_S)
+            assert child.stdout is not None
+            text = child.stdout.read()
+            return dict(json.loads(text)) if child.returncode == 0 else {"failed": f"exit {child.returncode}"}
+        except psutil.NoSuchProcess:
+            return {"failed": "ended too early"}
+        finally:
+            if child.poll() is None:
+                child.kill()
+
+
+@lab.command("module")
+@click.option("--size", "sizes", multiple=True, help="SERVERSxROUTESxTENANTS; may be given several times.")
+@click.option("--servers", type=click.IntRange(1), help="One more size, with --routes and --tenants.")
+@click.option("--routes", type=click.IntRange(1), default=3, show_default=True)
+@click.option("--tenants", type=click.IntRange(1), default=2, show_default=True)
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--memory-mb", type=click.IntRange(1), help="Bound on one size [default: half of the machine]")
+@click.option(
+    "--out", type=click.Path(path_type=Path), callback=check_out, help="File for the result, as JSON."
+)
+def module_command(
+    sizes: tuple[str, ...],
+    servers: int | None,
+    routes: int,
+    tenants: int,
+    seed: int,
+    memory_mb: int | None,
+    out: Path | None,
+) -> int:
+    """The decisions alone at each size."""
+    chosen = [parse_size(text) for text in sizes]
+    if servers is not None:
+        chosen.append((servers, routes, tenants))
+    results = []
+    for size in chosen or map(parse_size, DEFAULT_SIZES):
+        arguments = ["lab.module", *map(str, size), str(seed)]
+        result = bounded(arguments, memory_mb or half_of_memory_mb())
+        results.append(dict(zip(("servers", "routes", "tenants"), size, strict=True)) | result)
+        print(f"{'x'.join(map(str, size))}: {result.get('failed', 'done')}", file=sys.stderr, flush=True)
+    print(table(module.COLUMNS, map(module.row, results)))
+    if out is not None:
+        out.write_text(json.dumps({"seed": seed, "sizes": results}, indent=1) + "\n", encoding="utf-8")
+    return 1 if any("failed" in result for result in results) else 0
+
+
+if __name__ == "__main__":
+    lab()
--- /dev/null
+++ b/lab/fleet.py
@@ -0,0 +1,120 @@
+"""A fleet of a size: its servers in discovery's form, and the settings and configuration of its gateways."""
+
+from __future__ import annotations
+
+import zlib
+from typing import Any
+
+REGIONS = {"north": ("north-a", "north-b", "north-c", "north-d"), "south": ("south-a", "south-b", "south-c")}
+ZONES = tuple(zone for zones in REGIONS.values() for zone in zones)
+RACK = 40  # servers that fail together
+CELL = 3  # servers that share what they know of keys
+PER_SUBNET = 250
+EFFECTS = ("free", "guarded", "single_shot", "free")
+KEEPALIVE_US = 60_000_000  # long: an idle connection that closes in a run was closed for a reason
+
+Entry = dict[str, Any]
+
+
+def host(number: int) -> str:
+    """The address of its own on loopback that a server has, 127.20.0.1 and on."""
+    return f"127.{20 + number // PER_SUBNET // 250}.{number // PER_SUBNET % 250}.{number % PER_SUBNET + 1}"
+
+
+def number_of(address: str) -> int:
+    """The server at such an address."""
+    _, high, subnet, place = map(int, address.split("."))
+    return ((high - 20) * 250 + subnet) * PER_SUBNET + place - 1
+
+
+def zone_of(number: int) -> str:
+    return ZONES[number % len(ZONES)]
+
+
+def rack_of(number: int) -> int:
+    """A rack stands in one zone."""
+    return number % len(ZONES) + len(ZONES) * (number // len(ZONES) // RACK)
+
+
+def entries(servers: int, port: int) -> list[Entry]:
+    """The list of `servers` servers, all long up, as discovery's endpoints."""
+    return [
+        {
+            "name": f"s-{zlib.crc32(b'server %d' % n):08x}-{n}",
+            "address": f"{host(n)}:{port}",
+            "zone": zone_of(n),
+            "type": "m1",
+            "group": n // len(ZONES) // CELL * len(ZONES) + n % len(ZONES),
+            "status": "active",
+            "weight": 1.0,
+            "since_ms": 0,
+        }
+        for n in range(servers)
+    ]
+
+
+def route(number: int) -> str:
+    return f"route-{number}"
+
+
+def tenant(number: int) -> str:
+    return f"tenant-{number}"
+
+
+def effect(number: int) -> str:
+    return EFFECTS[number % len(EFFECTS)]
+
+
+def settings(routes: int, tenants: int, gateways: int = 1, index: int = 0) -> dict[str, Any]:
+    """A gateway's settings object, with the names and units of the simulator's first message."""
+    lanes = [
+        {
+            "name": route(n),
+            "effect": effect(n),
+            "group": "all",
+            "windowUs": 5_000_000,
+            "aimUs": 400_000,
+            "giveUpUs": 2_000_000,
+            "lateValue": 0.2,
+            "value": float(1 + n % 7),
+        }
+        for n in range(routes)
+    ]
+    return {
+        "balancers": gateways,
+        "index": index,
+        "caps": {
+            "connectTimeoutUs": 200_000,
+            "keepaliveUs": KEEPALIVE_US,
+            "maxAttempts": 4,
+            "maxRetryAfterUs": 1_000_000,
+            "mayCancel": True,
+            "mostHeld": 20_000,
+            "multiplex": 1,
+            "retryAfter": True,
+        },
+        "clients": {"marksRetry": True},
+        "contract": {
+            "answerSlackUs": 20_000,
+            "fallUs": 3_000_000,
+            "mustAskInUs": 10_000_000,
+            "startCapacity": 0.13,
+            "stopSendingWithinUs": 500_000,
+            "tipMultiple": 2.5,
+            "warmAfterUs": 23_000_000,
+        },
+        "lanes": lanes,
+        "membershipMode": "on_request",
+        "objectiveMix": {"whole": 0.7, "worstClass": 0.1, "worstTenant": 0.1, "worstWindow": 0.1},
+        "overShareWorth": 0.1,
+        "prices": {"connection": 0.05, "crossZone": 0.01, "handshake": 0.05, "lateFail": 0.03, "waste": 0.02},
+        "report": {"fields": ["latency_ms", "eps", "queue"], "how": "piggyback"},
+        "shapes": ["m1"],
+        "tenants": [
+            {"name": tenant(n), "allowancePerS": 1e6 / (n + 1), "fraction": 1.0 / tenants}
+            for n in range(tenants)
+        ],
+        "weights": "silent",
+        "zone": index % len(ZONES),
+        "zones": list(ZONES),
+    }
