--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -2,22 +2,28 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import signal
 import subprocess
 import sys
 import time
+from collections.abc import Coroutine
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import click
 import psutil
+import uvloop
 
-from lab import module
+from lab import module, scale, schedule
 from lab.tables import table
 
 DEFAULT_SIZES = ("10x3x2", "200x3x2", "4200x3x2", "10x3400x2", "10x3x2300")
 POLL_S = 0.05
 
+T = TypeVar("T")
+
 
 class OneLine(click.Group):
     """Says in one line what is wrong with the arguments, and ends with 2."""
@@ -115,5 +121,99 @@
     return 1 if any("failed" in result for result in results) else 0
 
 
+@lab.command("scale")
+@click.option("--servers", type=click.IntRange(1, 4200), default=200, show_default=True)
+@click.option("--routes", type=click.IntRange(1, 10_000), default=20, show_default=True)
+@click.option("--tenants", type=click.IntRange(1, 100_000), default=20, show_default=True)
+@click.option(
+    "--hollow", type=click.IntRange(0, 1000), default=24, show_default=True, help="Hollow gateways."
+)
+@click.option("--real", type=click.IntRange(0, 64), default=2, show_default=True, help="Real gateways.")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option(
+    "--rate",
+    type=click.FloatRange(0, 5000, min_open=True),
+    default=200.0,
+    show_default=True,
+    help="Requests a second through all real gateways; as many go straight.",
+)
+@click.option(
+    "--hollow-rate",
+    type=click.FloatRange(0, 1000, min_open=True),
+    default=5.0,
+    show_default=True,
+    help="Requests a second to each hollow gateway.",
+)
+@click.option(
+    "--seconds", type=click.FloatRange(1, 600), default=4.0, show_default=True, help="Of each scenario."
+)
+@click.option(
+    "--sweep-s",
+    type=click.FloatRange(0.2, 60),
+    default=1.0,
+    show_default=True,
+    help="Of requests at each size.",
+)
+@click.option(
+    "--scenario",
+    "scenarios",
+    multiple=True,
+    type=click.Choice(list(schedule.SCENARIOS)),
+    default=("ordinary", "rack", "outage"),
+    show_default=True,
+)
+@click.option(
+    "--memory-mb", type=click.IntRange(100), help="Bound on all together [default: half of the machine]"
+)
+@click.option("--late-ms", type=click.FloatRange(1), default=25.0, show_default=True, help="Bound at p99.")
+@click.option(
+    "--out", type=click.Path(path_type=Path, file_okay=False), required=True, help="Directory for the result."
+)
+def scale_command(out: Path, memory_mb: int | None, scenarios: tuple[str, ...], **sizes: Any) -> int:
+    """The whole at a size: result.json in the directory, and one table."""
+    most = half_of_memory_mb()
+    if memory_mb is not None and memory_mb > most:
+        raise click.BadParameter(f"--memory-mb is above half of the machine's memory, {most}")
+    plan = scale.Plan(scenarios=tuple(dict.fromkeys(scenarios)), memory_mb=memory_mb or most, **sizes)
+    try:
+        out.mkdir(parents=True, exist_ok=True)
+    except OSError as error:
+        raise click.BadParameter(f"{out} cannot be made: {error.strerror}") from None
+    began = time.monotonic()
+
+    def say(text: str) -> None:
+        print(f"[{time.monotonic() - began:6.1f} s] {text}", file=sys.stderr, flush=True)
+
+    try:
+        found = run_interruptible(scale.play(plan, out, say))
+    except scale.ChildError as error:
+        print(f"lab: {error}; see {out / 'logs'}", file=sys.stderr)
+        return 1
+    if found is None:
+        print("lab: interrupted; every child has ended", file=sys.stderr)
+        return 130
+    (out / "result.json").write_text(json.dumps(found, indent=1) + "\n", encoding="utf-8")
+    print(scale.report(found))
+    if not found["schedule"]["kept"]:
+        return 3
+    return 1 if found["over_bound"] or found["broken"] else 0
+
+
+def run_interruptible(play: Coroutine[Any, Any, T]) -> T | None:
+    """What it returns; None once SIGINT or SIGTERM has ended it, after its own tidying up."""
+
+    async def main() -> T | None:
+        loop, task = asyncio.get_running_loop(), asyncio.ensure_future(play)
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, task.cancel)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            return None
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(main())
+
+
 if __name__ == "__main__":
     lab()
--- /dev/null
+++ b/lab/processes.py
@@ -0,0 +1,173 @@
+"""The run's side of its children: started, asked, measured, held under a bound, ended by their id."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import sys
+import time
+from pathlib import Path
+from types import TracebackType
+from typing import Any, BinaryIO
+
+import psutil
+
+from lab.child import ORDER_LIMIT
+
+ROOT = Path(__file__).parent.parent
+POLL_S = 0.1
+ENDING_S = 2.0  # from SIGTERM to SIGKILL
+ANSWER_S = 120.0
+
+
+class ChildError(RuntimeError):
+    """A child has ended, or does not answer."""
+
+
+class OverBound(ChildError):
+    """A child was ended because the run held more memory than it may."""
+
+
+class Child:
+    def __init__(self, name: str, process: asyncio.subprocess.Process) -> None:
+        self.name = name
+        self.process = process
+        self.ps = psutil.Process(process.pid)
+        self.over = False
+        self.ended = False  # on purpose
+        self.lock = asyncio.Lock()
+        self.most_bytes = 0
+
+    def resident(self) -> int:
+        """Bytes; 0 once it has ended."""
+        with contextlib.suppress(psutil.Error):
+            rss = int(self.ps.memory_info().rss)
+            self.most_bytes = max(self.most_bytes, rss)
+            return rss
+        return 0
+
+    def cpu_s(self) -> float:
+        """Processor time so far, of all threads: to the nanosecond where the kernel tells, else to 10 ms."""
+        self.check()
+        with contextlib.suppress(OSError, OverflowError):
+            return time.clock_gettime(~self.ps.pid << 3 | 2)  # clock_getcpuclockid(3) on Linux
+        try:
+            times = self.ps.cpu_times()
+        except psutil.Error:
+            self.check(gone=True)
+            raise
+        return float(times.user + times.system)
+
+    def check(self, gone: bool = False) -> None:
+        if self.over:
+            raise OverBound(f"{self.name} was ended over the bound of memory")
+        if gone or self.process.returncode is not None:
+            raise ChildError(f"{self.name} has ended by itself: {self.process.returncode}")
+
+    async def ask(self, do: str, **order: Any) -> Any:
+        """Give an order; returns what the child answers."""
+        stdin, stdout = self.process.stdin, self.process.stdout
+        assert stdin is not None and stdout is not None
+        async with self.lock:
+            try:
+                async with asyncio.timeout(ANSWER_S):
+                    stdin.write(json.dumps({"do": do, **order}).encode() + b"\n")
+                    await stdin.drain()
+                    line = await stdout.readline()
+            except (TimeoutError, ConnectionError) as error:
+                self.check()
+                raise ChildError(f"{self.name} does not answer to {do}: {error!r}") from None
+            if not line:
+                await self.process.wait()
+                self.check(gone=True)
+            return json.loads(line)
+
+    async def end(self, gently: bool = True) -> None:
+        """By its id, and waited for."""
+        self.ended = True
+        if self.process.returncode is None and gently:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.terminate()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(ENDING_S):
+                    await self.process.wait()
+        if self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.kill()
+        await self.process.wait()
+
+
+class Children:
+    """All children of a run; none outlives it."""
+
+    def __init__(self, memory_mb: int, logs: Path) -> None:
+        self.bound = memory_mb * 1_000_000
+        self.logs = logs
+        self.running: list[Child] = []
+        self.files: list[BinaryIO] = []
+        self.guard: asyncio.Task[None] | None = None
+        self.most_bytes = 0
+
+    async def __aenter__(self) -> Children:
+        self.guard = asyncio.get_running_loop().create_task(self.keep_bound())
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        if self.guard is not None:
+            self.guard.cancel()
+        await asyncio.gather(*(child.end(gently=False) for child in self.running))
+        for file in self.files:
+            file.close()
+
+    async def start(self, name: str, *arguments: str, **environ: str) -> Child:
+        """A child of this Python: `-m` and the arguments. Its standard error goes to a file of its name.
+
+        It is in a session of its own: an interrupt at the terminal reaches the run alone.
+        """
+        kept = {key: value for key, value in os.environ.items() if not key.startswith("ROUTER_")}
+        log = (self.logs / f"{name}.log").open("wb")
+        self.files.append(log)
+        starting = asyncio.ensure_future(
+            asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *arguments,
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
+                cwd=ROOT,
+                env={**kept, "OPENBLAS_NUM_THREADS": "1", **environ},
+                limit=ORDER_LIMIT,
+                start_new_session=True,
+            )
+        )
+        try:
+            process = await asyncio.shield(starting)
+        except asyncio.CancelledError:
+            await Child(name, await starting).end(gently=False)  # none is lost between its start and here
+            raise
+        child = Child(name, process)
+        self.running.append(child)
+        return child
+
+    async def end(self, child: Child, gently: bool = True) -> None:
+        await child.end(gently)
+        if child in self.running:
+            self.running.remove(child)
+
+    async def keep_bound(self) -> None:
+        """Ends the largest child while all together hold more than the bound."""
+        while True:
+            held = {child: child.resident() for child in self.running if not child.over}
+            total = sum(held.values())
+            self.most_bytes = max(self.most_bytes, total)
+            if total > self.bound:
+                largest = max(held, key=lambda child: held[child])
+                largest.over = True
+                with contextlib.suppress(ProcessLookupError):
+                    largest.process.kill()
+            await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/lab/registry.py
@@ -0,0 +1,258 @@
+"""A stand-in for discovery: the list and the watch, calls handled in turn, changes played at seeded times.
+
+It listens twice, for real and for hollow gateways, so that what goes to each is counted apart.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Iterable
+from functools import partial
+from typing import Any, cast
+from urllib.parse import parse_qs
+
+import httptools
+
+from lab import fleet
+from lab.child import Handler, Hist, Order, obey
+from rosedeal.gateway.discovery import STATUSES, host_id
+
+PATH = b"/registry/instances"
+LISTENS = {"real": "127.0.0.2", "hollow": "127.0.0.3"}
+FIRST_INDEX = 41
+EMPTY_LINE_S = 2.0
+CALLS_PER_S = 2_000.0  # what it handles in turn
+LINES_PER_S = 2_000_000.0  # of lists
+PATIENCE_S = 1.0  # a call that would wait for longer ends with 503
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class Call(asyncio.Protocol):
+    """One connection of a gateway."""
+
+    def __init__(self, registry: Registry, side: str) -> None:
+        self.registry, self.side = registry, side
+        self.parser = httptools.HttpRequestParser(self)
+        self.target = b""
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.registry.open.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.registry.open.discard(self)
+        self.registry.watches.pop(self, None)
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.abort()
+
+    def on_message_begin(self) -> None:
+        self.target = b""
+
+    def on_url(self, url: bytes) -> None:
+        self.target += url
+
+    def on_message_complete(self) -> None:
+        self.registry.called(self, self.target)
+
+    def write(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.registry.stats[self.side]["bytes"] += len(data)
+            self.transport.write(data)
+
+    def answer(self, status: int, body: bytes = b"") -> None:
+        self.write(b"HTTP/1.1 %d Any\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body))
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Registry:
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.index = FIRST_INDEX
+        self.oldest = FIRST_INDEX  # changes after this index are kept
+        self.entries: dict[int, fleet.Entry] = {}  # by number; one that has left is not there
+        self.template: list[fleet.Entry] = []
+        self.changes: list[tuple[int, int, fleet.Entry]] = []  # index, number, entry as changed
+        self.written: list[
+            tuple[int, str, int, int]
+        ] = []  # host's id, status, start in us, when written in ns
+        self.open: set[Call] = set()
+        self.watches: dict[Call, None] = {}  # in order
+        self.listeners: dict[str, asyncio.Server] = {}
+        self.ports = dict.fromkeys(LISTENS, 0)
+        self.free_at = 0.0  # when the calls taken by now are handled
+        self.whole: tuple[int, bytes] = (-1, b"")
+        self.late = Hist()
+        self.stats: dict[str, dict[str, int]] = {
+            side: {"calls": 0, "turned_away": 0, "bytes": 0, "messages": 0} for side in LISTENS
+        }
+
+    async def listen(self) -> dict[str, str]:
+        for side, host in LISTENS.items():
+            server = await self.loop.create_server(
+                partial(Call, self, side), host, self.ports[side], backlog=1024, reuse_address=True
+            )
+            self.listeners[side] = server
+            self.ports[side] = server.sockets[0].getsockname()[1]
+        return {side: f"{host}:{self.ports[side]}" for side, host in LISTENS.items()}
+
+    def go_down(self) -> None:
+        for server in self.listeners.values():
+            server.close()
+        self.listeners.clear()
+        for call in list(self.open):
+            call.abort()
+
+    def set_fleet(self, servers: int, port: int) -> None:
+        """Another fleet: what was known of the old one is over."""
+        self.template = fleet.entries(servers, port)
+        self.entries = dict(enumerate(map(dict, self.template)))
+        self.index += 1
+        self.oldest = self.index
+        self.changes.clear()
+        self.written.clear()
+        for call in list(self.open):
+            call.abort()
+
+    # Calls
+
+    def called(self, call: Call, target: bytes) -> None:
+        path, _, query = target.partition(b"?")
+        if path != PATH:
+            call.answer(404)
+            return
+        self.stats[call.side]["calls"] += 1
+        asked = parse_qs(query.decode("latin-1"))
+        now = self.loop.time()
+        self.free_at = max(now, self.free_at) + 1.0 / CALLS_PER_S
+        if self.free_at - now > PATIENCE_S:
+            self.free_at -= 1.0 / CALLS_PER_S
+            self.stats[call.side]["turned_away"] += 1
+            self.loop.call_later(PATIENCE_S, call.answer, 503)
+            return
+        if asked.get("stream") == ["1"]:
+            text = asked.get("index", [""])[0]
+            since = int(text) if text.isascii() and text.isdigit() else -1
+            self.loop.call_at(self.free_at, self.start_watch, call, since)
+        else:
+            self.free_at += len(self.entries) / LINES_PER_S
+            self.loop.call_at(self.free_at, self.give_list, call)
+
+    def give_list(self, call: Call) -> None:
+        call.answer(200, self.whole_list())
+        self.stats[call.side]["messages"] += 1
+
+    def whole_list(self) -> bytes:
+        if self.whole[0] != self.index:
+            self.whole = (self.index, message(self.index, True, self.entries.values()))
+        return self.whole[1]
+
+    def start_watch(self, call: Call, since: int) -> None:
+        if call.transport is None:
+            return
+        if self.oldest <= since <= self.index:
+            latest = {number: entry for index, number, entry in self.changes if index > since}
+            first = message(self.index, False, latest.values())
+        else:
+            first = self.whole_list()
+        call.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(first + b"\n"))
+        self.stats[call.side]["messages"] += 1
+        self.watches[call] = None
+
+    def keep_alive(self) -> None:
+        for call in self.watches:
+            call.write(chunk(b"\n"))
+        self.loop.call_later(EMPTY_LINE_S, self.keep_alive)
+
+    # Changes
+
+    def change(self, numbers: Iterable[tuple[int, str]], restarted: bool) -> int:
+        """Tell all watches in one message; returns when the first was written: nanoseconds, monotonic."""
+        self.index += 1
+        told = []
+        for number, status in numbers:
+            entry = dict(self.entries.get(number, self.template[number]), status=status)
+            if status == "active" and restarted:
+                entry["since_ms"] = time.time_ns() // 1_000_000
+            if status == "left":
+                self.entries.pop(number, None)
+            else:
+                self.entries[number] = entry
+            told.append(entry)
+            self.changes.append((self.index, number, entry))
+        line = chunk(message(self.index, False, told) + b"\n")
+        at_ns = time.monotonic_ns()
+        for call in self.watches:
+            call.write(line)
+            self.stats[call.side]["messages"] += 1
+        for entry in told if restarted else ():  # a probe's are seen at the stand-ins
+            known_as = (host_id(entry["name"]), STATUSES[entry["status"]].value, entry["since_ms"] * 1000)
+            self.written.append((*known_as, at_ns))
+        return at_ns
+
+    async def play(self, changes: list[tuple[float, str, list[int]]], start_ns: int) -> None:
+        """Carry out (seconds after the start, what, servers), each at its time."""
+        for at_s, what, numbers in changes:
+            wait_s = start_ns / 1e9 + at_s - time.monotonic()
+            if wait_s > 0:
+                await asyncio.sleep(wait_s)
+            self.late.add((time.monotonic() - start_ns / 1e9 - at_s) * 1e6)
+            if what == "down":
+                self.go_down()
+            elif what == "up":
+                await self.listen()
+            else:
+                self.change(((n, what) for n in numbers if n < len(self.template)), restarted=True)
+
+    async def handle(self, order: Order) -> Any:
+        match order["do"]:
+            case "listen":
+                self.keep_alive()
+                return await self.listen()
+            case "fleet":
+                self.set_fleet(order["servers"], order["port"])
+                return {"index": self.index, "bytes": len(self.whole_list())}
+            case "play":
+                self.playing = self.loop.create_task(self.play(order["changes"], order["start_ns"]))
+                return None
+            case "played":
+                await self.playing
+                return None
+            case "change":
+                return self.change([(order["server"], order["status"])], restarted=False)
+            case "written":
+                written, self.written = self.written, []
+                return written
+            case "stats":
+                counts = dict.fromkeys(LISTENS, 0)
+                for call in self.watches:
+                    counts[call.side] += 1
+                sides = {side: {**stats, "watches": counts[side]} for side, stats in self.stats.items()}
+                return {"index": self.index, "late": self.late.text(), "sides": sides}
+        raise ValueError(f"unknown order {order['do']!r}")
+
+
+def message(index: int, whole: bool, entries: Iterable[fleet.Entry]) -> bytes:
+    raw = {"index": index, "snapshot": whole, "endpoints": list(entries)}
+    return json.dumps(raw, separators=(",", ":")).encode()
+
+
+def make() -> Handler:
+    return Registry(asyncio.get_running_loop()).handle
+
+
+if __name__ == "__main__":
+    obey(make)
--- /dev/null
+++ b/lab/scale.py
@@ -0,0 +1,714 @@
+"""The scale run: stand-ins, clients, real and hollow gateways at a size; its phases, result and table."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import platform
+import random
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Any
+
+import psutil
+
+from lab import fit, fleet, schedule
+from lab.child import Hist
+from lab.clients import DIRECT_SERVERS
+from lab.processes import Child, ChildError, Children, OverBound
+from lab.statements import SIDES
+from lab.tables import table
+
+PARTS = 4  # sizes of each kind, up to the one asked
+BASE = {"servers": 20, "routes": 4, "tenants": 4}  # of those that a sweep leaves alone
+SWEEP_RATE = 200.0  # requests a second to the one gateway
+START_S = 120.0  # until a gateway is ready, at most
+WATCH_S = 20.0  # until it watches
+POLL_S = 0.005
+STEP_S = 1.5  # of an ordinary day at each number of hollow gateways
+PER_PROCESS = 25  # hollow gateways at most
+LEAST_PROCESSES = 4
+PROBE_GAP_S = 0.2
+PROBE_WAIT_S = 0.3
+SETTLE_S = 0.5
+WARM_S = 0.5
+AROUND_OUTAGE_S = 0.6  # no probes so long before it and after
+FULL_CORE = 0.9  # of one process: it may no longer do everything when it is due
+FULL_MACHINE = 0.97
+GATEWAY_SOCKETS = 1024
+
+Say = Callable[[str], None]
+
+
+@dataclass(frozen=True)
+class Plan:
+    servers: int
+    routes: int
+    tenants: int
+    hollow: int
+    real: int
+    seed: int
+    rate: float  # requests a second through the real gateways together, and as many straight
+    hollow_rate: float  # to each hollow gateway
+    seconds: float  # of each scenario
+    sweep_s: float  # of requests at each size
+    scenarios: tuple[str, ...]
+    memory_mb: int
+    late_ms: float  # what is later than this at p99 has not kept the schedule
+
+
+@dataclass
+class Gateway:
+    child: Child
+    address: tuple[str, int]
+    ready_s: float
+    start_cpu_s: float
+    ready_bytes: int
+    settings_bytes: int
+
+
+@dataclass
+class Reading:
+    """Counters at one moment; two of them make rates."""
+
+    at: float
+    registry: dict[str, Any]
+    statements: dict[str, Any]
+    hollow: list[dict[str, Any]]
+    cpu_s: dict[str, float]
+
+
+@dataclass
+class Run:
+    plan: Plan
+    children: Children
+    out: Path
+    say: Say
+    registry: Child = field(init=False)
+    statements: Child = field(init=False)
+    clients: Child = field(init=False)
+    addresses: dict[str, str] = field(default_factory=dict)  # of discovery
+    ports: dict[str, int] = field(default_factory=dict)  # of the statement servers
+    list_index: int = 0
+    list_bytes: int = 0
+    served: int = 1  # request ids used by now
+    late: dict[str, Hist] = field(default_factory=dict)
+    why: list[str] = field(default_factory=list)  # the schedule was not kept
+    over: list[str] = field(default_factory=list)  # ended over the bound
+    broken: list[str] = field(
+        default_factory=list
+    )  # what must never be, as a request with no answer of its own
+    hollows: list[Child] = field(default_factory=list)
+    reals: list[Gateway] = field(default_factory=list)
+
+    # Parts
+
+    async def open(self) -> None:
+        self.registry, self.statements, self.clients = [
+            await self.children.start(name, f"lab.{name}") for name in ("registry", "statements", "clients")
+        ]
+        self.addresses = await self.registry.ask("listen")
+        self.ports = await self.statements.ask("listen", seed=self.plan.seed)
+
+    async def set_fleet(self, servers: int) -> None:
+        told = await self.registry.ask("fleet", servers=servers, port=self.ports["gateway"])
+        self.list_index, self.list_bytes = told["index"], told["bytes"]
+
+    def write_config(
+        self, name: str, servers: int, routes: int, tenants: int, index: int = 0, gateways: int = 1
+    ) -> tuple[Path, int]:
+        """A gateway's configuration file; returns how long its settings are too, in bytes."""
+        settings = fleet.settings(routes, tenants, gateways, index)
+        known = fleet.entries(servers, self.ports["gateway"])
+        raw = {
+            "name": name,
+            "listen": "127.0.0.1:0",
+            "discovery": self.addresses["real"],
+            "seed": f"{self.plan.seed + index:x}",
+            "limits": {"sockets": GATEWAY_SOCKETS},
+            "known": {"index": self.list_index, "snapshot": True, "endpoints": known},
+            "settings": settings,
+        }
+        path = self.out / "logs" / f"{name}.json"
+        path.write_text(json.dumps(raw), encoding="utf-8")
+        return path, len(json.dumps(settings))
+
+    async def start_gateway(
+        self, name: str, servers: int, routes: int, tenants: int, index: int = 0, gateways: int = 1
+    ) -> Gateway:
+        """A real gateway, once it says that it is ready."""
+        path, settings_bytes = self.write_config(name, servers, routes, tenants, index, gateways)
+        host = f"127.0.1.{index + 1}"
+        with socket.create_server((host, 0)) as free:
+            port = free.getsockname()[1]
+        began = time.monotonic()
+        child = await self.children.start(
+            name, "rosedeal", ROUTER_CONFIG=str(path.resolve()), ROUTER_LISTEN=f"{host}:{port}"
+        )
+        async with asyncio.timeout(START_S):
+            while not await is_ready(host, port):
+                child.check()
+                await asyncio.sleep(POLL_S)
+        ready_s = time.monotonic() - began
+        return Gateway(child, (host, port), ready_s, child.cpu_s(), child.resident(), settings_bytes)
+
+    async def watching(self, side: str, count: int) -> None:
+        """Until so many gateways of a side watch."""
+        try:
+            async with asyncio.timeout(WATCH_S):
+                while (await self.registry.ask("stats"))["sides"][side]["watches"] < count:
+                    for child in self.children.running:
+                        child.check()
+                    await asyncio.sleep(4 * POLL_S)
+        except TimeoutError:
+            self.why.append(f"of {count} {side} gateways not all watch after {WATCH_S:g} s")
+
+    async def play_clients(
+        self, gateways: list[Gateway], rate: float, seconds: float, routes: int, tenants: int, warm: float
+    ) -> Callable[[], Any]:
+        """Start clients; straight requests go along where they are to be compared."""
+        straight = min(DIRECT_SERVERS, self.plan.servers) if warm else 0
+        await self.clients.ask(
+            "play",
+            seed=self.plan.seed,
+            rate=rate,
+            seconds=seconds,
+            routes=routes,
+            tenants=tenants,
+            first=self.served,
+            warm=warm,
+            gateways=[gateway.address for gateway in gateways],
+            direct=[(fleet.host(n), self.ports["direct"]) for n in range(straight)],
+        )
+        self.served += 4 * int(rate * seconds + 100)
+
+        async def played() -> Any:
+            result = await self.clients.ask("played")
+            self.note_late("clients", result["late"])
+            for side, told in result["sides"].items():
+                for what in ("wrong body", "400", "404"):
+                    if told["counts"].get(what):
+                        self.broken.append(f"{told['counts'][what]} requests ({side}) ended as {what}")
+            return result["sides"]
+
+        return played
+
+    def note_late(self, who: str, text: str) -> None:
+        self.late.setdefault(who, Hist()).join(Hist(text))
+
+    # The sizes of one gateway
+
+    async def sweep(self) -> dict[str, Any]:
+        """One real gateway alone at several sizes of each kind, the others small."""
+        asked = {"servers": self.plan.servers, "routes": self.plan.routes, "tenants": self.plan.tenants}
+        base = {kind: min(BASE[kind], asked[kind]) for kind in asked}
+        points: dict[str, Any] = {}
+        for kind, most in asked.items():
+            points[kind] = []
+            for size in sizes(most):
+                self.say(f"one gateway with {size} {kind}")
+                points[kind].append({"size": size, **await self.sweep_point({**base, kind: size})})
+        return points
+
+    async def sweep_point(self, size: dict[str, int]) -> dict[str, Any]:
+        name = "sweep-" + "x".join(map(str, size.values()))
+        await self.set_fleet(size["servers"])
+        try:
+            gateway = await self.start_gateway(name, **size)
+            before_s = gateway.child.cpu_s()
+            played = await self.play_clients(
+                [gateway], SWEEP_RATE, self.plan.sweep_s, size["routes"], size["tenants"], warm=0.0
+            )
+            counts = (await played())["gateway"]["counts"]
+            await self.watching("real", 1)
+            requests = max(1, sum(counts.values()))
+            return {
+                "resident_bytes": gateway.child.resident(),
+                "resident_at_ready_bytes": gateway.ready_bytes,
+                "ready_s": gateway.ready_s,
+                "start_cpu_s": gateway.start_cpu_s,
+                "settings_bytes": gateway.settings_bytes,
+                "list_bytes": self.list_bytes,
+                "request_cpu_s": (gateway.child.cpu_s() - before_s) / requests,
+                "answers": counts,
+            }
+        except OverBound:
+            self.over.append(name)
+            return {"over_bound": True}
+        except TimeoutError:
+            self.over.append(f"{name} (not ready after {START_S:g} s)")
+            return {"over_time": True}
+        finally:
+            for child in [c for c in self.children.running if c.name == name]:
+                await self.children.end(child, gently=False)
+
+    # Hollow gateways
+
+    async def step_hollow(self) -> list[dict[str, Any]]:
+        """More and more hollow gateways, an ordinary day at each number of them."""
+        plan = self.plan
+        count = min(plan.hollow, max(LEAST_PROCESSES, math.ceil(plan.hollow / PER_PROCESS)))
+        path, _ = self.write_config("hollow", plan.servers, plan.routes, plan.tenants, 0, plan.hollow)
+        for n in range(count):
+            child = await self.children.start(f"hollow-{n}", "lab.hollow")
+            self.hollows.append(child)
+        base_bytes = sum(
+            await asyncio.gather(
+                *(
+                    child.ask(
+                        "read", path=str(path.resolve()), address=self.addresses["hollow"], seed=plan.seed + n
+                    )
+                    for n, child in enumerate(self.hollows)
+                )
+            )
+        )
+        points, present = [], 0
+        for size in sizes(plan.hollow):
+            self.say(f"{size} hollow gateways")
+            per_child = [part(size, count, n) - part(present, count, n) for n in range(count)]
+            began = time.monotonic()
+            await asyncio.gather(
+                *(
+                    child.ask("add", count=more, first=present + sum(per_child[:n]), seed=plan.seed)
+                    for n, (child, more) in enumerate(zip(self.hollows, per_child, strict=True))
+                )
+            )
+            add_s, present = time.monotonic() - began, size
+            await self.watching("hollow", size)
+            await asyncio.gather(
+                *(
+                    child.ask("ask", rate=plan.hollow_rate, routes=plan.routes, tenants=plan.tenants,
+                              seed=plan.seed + 1000 * n)
+                    for n, child in enumerate(self.hollows)
+                )
+            )  # fmt: skip
+            before = await self.read()
+            churn = schedule.churn(plan.seed, "ordinary", plan.servers, STEP_S)
+            await self.registry.ask("play", changes=churn, start_ns=time.monotonic_ns())
+            await asyncio.sleep(STEP_S)
+            await self.registry.ask("played")
+            after = await self.read()
+            force = await self.force()
+            took = after.at - before.at
+            told = {
+                what: (after.registry["hollow"][what] - before.registry["hollow"][what]) / took
+                for what in ("bytes", "messages")
+            }
+            cpu = sum(after.cpu_s[child.name] - before.cpu_s[child.name] for child in self.hollows)
+            points.append(
+                {
+                    "size": size,
+                    "add_s": add_s,
+                    "registry_cpu_s_per_s": (after.cpu_s["registry"] - before.cpu_s["registry"]) / took,
+                    "registry_bytes_per_s": told["bytes"],
+                    "registry_messages_per_s": told["messages"],
+                    "hollow_bytes": sum(child.resident() for child in self.hollows) - base_bytes,
+                    "hollow_cpu_s_per_s": cpu / took,
+                    "in_force": force["hollow"].summary(),
+                }
+            )
+        return points
+
+    async def force(self) -> dict[str, Any]:
+        """What the hollow gateways heard of what discovery has written since the last call."""
+        changes = await self.registry.ask("written")
+        joined, skipped = Hist(), 0
+        for told in await asyncio.gather(*(child.ask("force", changes=changes) for child in self.hollows)):
+            joined.join(Hist(told["force"]))
+            skipped += told["unseen"]
+        return {"hollow": joined, "changes": len(changes), "skipped": skipped}
+
+    # The whole
+
+    async def read(self) -> Reading:
+        registry, statements = await asyncio.gather(self.registry.ask("stats"), self.statements.ask("stats"))
+        hollow = await asyncio.gather(*(child.ask("stats") for child in self.hollows))
+        self.late["registry"], self.late["statements"] = Hist(registry["late"]), Hist(statements["late"])
+        if hollow:
+            self.late["hollow"] = Hist()
+            for told in hollow:
+                self.note_late("hollow", told["late"])
+        cpu = {child.name: child.cpu_s() for child in self.children.running}
+        return Reading(time.monotonic(), registry["sides"], statements["sides"], list(hollow), cpu)
+
+    async def start_reals(self) -> None:
+        plan = self.plan
+        self.say(f"{plan.real} real gateways")
+        await self.set_fleet_again()
+        self.reals = list(
+            await asyncio.gather(
+                *(
+                    self.start_gateway(f"real-{n}", plan.servers, plan.routes, plan.tenants, n, plan.real)
+                    for n in range(plan.real)
+                )
+            )
+        )
+        await self.watching("real", plan.real)
+
+    async def set_fleet_again(self) -> None:
+        """The index of now stands in what the gateways know."""
+        self.list_index = (await self.registry.ask("stats"))["index"]
+
+    async def scenario(self, name: str) -> dict[str, Any]:
+        """Churn and requests for a while; what it took of each role, and how soon changes were in force."""
+        plan = self.plan
+        changes = schedule.churn(plan.seed, name, plan.servers, plan.seconds)
+        for child in self.children.running:
+            child.check()
+        await self.force()  # what came before is not this scenario's
+        psutil.cpu_percent()
+        before = await self.read()
+        start_ns = time.monotonic_ns()
+        await self.registry.ask("play", changes=changes, start_ns=start_ns)
+        played = None
+        if self.reals:
+            played = await self.play_clients(
+                self.reals, plan.rate, plan.seconds, plan.routes, plan.tenants, warm=WARM_S
+            )
+        probes = await self.probe(changes, start_ns)
+        sides = await played() if played is not None else {}
+        await self.registry.ask("played")
+        await asyncio.sleep(SETTLE_S)
+        after = await self.read()
+        machine = psutil.cpu_percent() / 100
+        if machine > FULL_MACHINE:
+            self.why.append(f"{name}: the machine was busy to {machine:.0%}")
+        self.check_cores(name, before, after)
+        return {
+            "changes": len(changes),
+            "machine_cpu_share": machine,
+            "force": await self.force(),
+            "probes": probes,
+            "sides": sides,
+            "before": before,
+            "after": after,
+        }
+
+    def check_cores(self, name: str, before: Reading, after: Reading) -> None:
+        rig = ["registry", "statements", "clients", *(child.name for child in self.hollows)]
+        for role in rig:
+            busy = (after.cpu_s[role] - before.cpu_s[role]) / (after.at - before.at)
+            if busy > FULL_CORE:
+                self.why.append(f"{name}: {role} took {busy:.2f} of a core")
+
+    async def probe(self, changes: list[schedule.Change], start_ns: int) -> dict[str, Any]:
+        """Servers that gateways hold idle connections to begin to leave: how soon are those closed?
+
+        Seen from outside, at the stand-in. No server of the churn is chosen, and none about an outage.
+        """
+        chosen, hist, standing, count = random.Random(self.plan.seed), Hist(), 0, 0
+        taken = {number for _, _, numbers in changes for number in numbers}
+        quiet = [at_s for at_s, what, _ in changes if what in ("down", "up")]
+        end = start_ns / 1e9 + self.plan.seconds
+        while (now := time.monotonic()) < end:
+            at_s = now - start_ns / 1e9
+            await asyncio.sleep(PROBE_GAP_S)
+            if quiet and quiet[0] - AROUND_OUTAGE_S <= at_s <= quiet[-1] + AROUND_OUTAGE_S:
+                continue
+            idle = [n for n, _ in await self.statements.ask("idle") if n not in taken]
+            if not idle or not self.reals:
+                continue
+            server = chosen.choice(idle)
+            await self.statements.ask("watch", server=server)
+            since_ns = await self.registry.ask("change", server=server, status="leaving")
+            await asyncio.sleep(PROBE_WAIT_S)
+            told = await self.statements.ask("closes", server=server, since_ns=since_ns)
+            await self.registry.ask("change", server=server, status="active")
+            count += 1
+            standing += told["standing"]
+            for after_us in told["after_us"]:
+                hist.add(after_us)
+        return {"hist": hist, "probes": count, "standing": standing}
+
+
+def sizes(most: int) -> list[int]:
+    """Evenly up to the one asked."""
+    return sorted({max(1, round(most * n / PARTS)) for n in range(1, PARTS + 1)})
+
+
+def part(total: int, parts: int, number: int) -> int:
+    """A fair part of whole things."""
+    return total // parts + (number < total % parts)
+
+
+async def is_ready(host: str, port: int) -> bool:
+    try:
+        reader, writer = await asyncio.open_connection(host, port)
+    except OSError:
+        return False
+    try:
+        writer.write(b"GET /health/ready HTTP/1.1\r\nHost: service.internal\r\n\r\n")
+        return (await reader.readline()).split()[1:2] == [b"200"]
+    except OSError:
+        return False
+    finally:
+        writer.close()
+
+
+# The result
+
+UNITS = {
+    "resident_bytes": ("resident memory", 1e-3, "kB"),
+    "ready_s": ("start to ready", 1e3, "ms"),
+    "start_cpu_s": ("processor at start", 1e3, "ms"),
+    "settings_bytes": ("settings", 1.0, "B"),
+    "list_bytes": ("list", 1.0, "B"),
+    "request_cpu_s": ("processor a request", 1e6, "us"),
+    "registry_cpu_s_per_s": ("discovery's processor", 1e6, "us/s"),
+    "registry_bytes_per_s": ("discovery's bytes", 1.0, "B/s"),
+    "registry_messages_per_s": ("discovery's messages", 1.0, "/s"),
+    "hollow_bytes": ("hollow's memory", 1e-3, "kB"),
+    "hollow_cpu_s_per_s": ("hollow's processor", 1e6, "us/s"),
+}
+
+
+def slopes(points: dict[str, list[dict[str, Any]]]) -> dict[str, Any]:
+    """By what is counted and what is measured, a line through the sizes that were played whole."""
+    found: dict[str, Any] = {}
+    for kind, all_points in points.items():
+        whole = [point for point in all_points if not point.get("over_bound") and not point.get("over_time")]
+        found[kind] = {
+            what: fit.line([point["size"] for point in whole], [point[what] for point in whole])
+            for what in UNITS
+            if all_points and any(what in point for point in whole)
+        }
+    return found
+
+
+def rates(scenarios: dict[str, Any], names: list[str]) -> float:
+    """Processor seconds a second of some processes over all scenarios."""
+    took = sum(s["after"].at - s["before"].at for s in scenarios.values())
+    spent = sum(s["after"].cpu_s[n] - s["before"].cpu_s[n] for s in scenarios.values() for n in names)
+    return float(spent / took) if took else 0.0
+
+
+def roles(run: Run, scenarios: dict[str, Any]) -> dict[str, Any]:
+    """What each role took, over all scenarios; of gateways, each one's part."""
+    took = sum(s["after"].at - s["before"].at for s in scenarios.values()) or 1.0
+
+    def told(where: str, side: str, what: str) -> float:
+        return float(
+            sum(
+                getattr(s["after"], where)[side][what] - getattr(s["before"], where)[side][what]
+                for s in scenarios.values()
+            )
+        )
+
+    def asked(side: str, what: str) -> float:
+        sides = [s["sides"][side] for s in scenarios.values() if s["sides"]]
+        return float(sum(t["bytes"] if what == "bytes" else sum(t["counts"].values()) for t in sides))
+
+    def role(children: list[Child], count: int, bytes_: float, messages: float) -> dict[str, Any]:
+        return {
+            "count": count,
+            "processes": len(children),
+            "resident_mb": sum(child.resident() for child in children) / count / 1e6,
+            "cpu_s_per_s": rates(scenarios, [child.name for child in children]) / count,
+            "bytes_per_s": bytes_ / took / count,
+            "messages_per_s": messages / took / count,
+        }
+
+    listed = {
+        what: {side: told("registry", side, what) for side in ("real", "hollow")}
+        for what in ("bytes", "messages")
+    }
+    served = {
+        what: {side: told("statements", side, what) for side in SIDES} for what in ("bytes", "requests")
+    }
+    sent = {what: {side: asked(side, what) for side in SIDES} for what in ("bytes", "requests")}
+    found = {
+        "registry": role([run.registry], 1, sum(listed["bytes"].values()), sum(listed["messages"].values())),
+        "statements": role(
+            [run.statements], 1, sum(served["bytes"].values()), sum(served["requests"].values())
+        ),
+        "clients": role([run.clients], 1, sum(sent["bytes"].values()), sum(sent["requests"].values())),
+    }
+    if run.reals:
+        found["gateway"] = role(
+            [gateway.child for gateway in run.reals],
+            len(run.reals),
+            listed["bytes"]["real"] + served["bytes"]["gateway"] + sent["bytes"]["gateway"],
+            listed["messages"]["real"] + served["requests"]["gateway"] + sent["requests"]["gateway"],
+        )
+        found["gateway"]["ready_s"] = max(gateway.ready_s for gateway in run.reals)
+        found["gateway"]["start_cpu_s"] = max(gateway.start_cpu_s for gateway in run.reals)
+        found["gateway"]["in_force"] = joined([s["probes"]["hist"] for s in scenarios.values()]).summary()
+        found["gateway"]["not_in_force"] = sum(s["probes"]["standing"] for s in scenarios.values())
+        found["gateway"]["added"] = added([s["sides"] for s in scenarios.values()])
+    if run.hollows:
+        gateways = run.plan.hollow
+        found["hollow"] = role(run.hollows, gateways, listed["bytes"]["hollow"], listed["messages"]["hollow"])
+        found["hollow"]["in_force"] = joined([s["force"]["hollow"] for s in scenarios.values()]).summary()
+        stats = [s["after"].hollow for s in scenarios.values()][-1]
+        found["hollow"]["list_read"] = joined([Hist(told["list"]) for told in stats]).summary()
+        ready = joined([Hist(told["ready"]) for told in stats])
+        found["hollow"]["ready_s"] = ready.at(99) / 1e3
+        counts = {what: sum(told["counts"][what] for told in stats) for what in stats[0]["counts"]}
+        spent_ns = sum(told["spent_ns"] for told in stats)
+        found["hollow"]["requests"] = {**counts, "request_us": spent_ns / 1e3 / max(1, counts["asked"])}
+    return found
+
+
+def joined(hists: list[Hist]) -> Hist:
+    total = Hist()
+    for hist in hists:
+        total.join(hist)
+    return total
+
+
+def added(sides: list[Any]) -> dict[str, Any] | None:
+    """Through gateways against straight, in milliseconds."""
+    hists = {side: joined([Hist(told[side]["latency"]) for told in sides if told]) for side in SIDES}
+    counts: dict[str, dict[str, int]] = {side: {} for side in SIDES}
+    for told in sides:
+        for side in SIDES if told else ():
+            for what, count in told[side]["counts"].items():
+                counts[side][what] = counts[side].get(what, 0) + count
+    found: dict[str, Any] = {
+        side: {**(hists[side].summary() or {}), "answers": counts[side]} for side in SIDES
+    }
+    if not all(hists[side].count for side in SIDES):
+        return found
+    for percent in (50, 99):
+        found[f"p{percent}_ms"] = hists["gateway"].at(percent) - hists["direct"].at(percent)
+    return found
+
+
+def check_schedule(run: Run) -> dict[str, Any]:
+    late = {who: hist.summary() for who, hist in run.late.items()}
+    for who, summary in late.items():
+        if summary is not None and summary["p99_ms"] > run.plan.late_ms:
+            run.why.append(f"{who} were late by {summary['p99_ms']:.1f} ms at p99")
+    return {"kept": not run.why, "why": run.why, "late": late, "bound_ms": run.plan.late_ms}
+
+
+def result(
+    run: Run, points: dict[str, list[dict[str, Any]]], scenarios: dict[str, Any], took_s: float
+) -> dict[str, Any]:
+    kept = check_schedule(run)
+    bad = sum(side["bad"] for s in list(scenarios.values())[-1:] for side in s["after"].statements.values())
+    if bad:
+        run.broken.append(f"{bad} requests at the stand-ins were none of PROTOCOL's")
+    figures = {
+        "roles": roles(run, scenarios) if scenarios else {},
+        "scenarios": {
+            name: {
+                "changes": s["changes"],
+                "machine_cpu_share": s["machine_cpu_share"],
+                "hollow_in_force": s["force"]["hollow"].summary(),
+                "hollow_skipped": s["force"]["skipped"],
+                "gateway_in_force": s["probes"]["hist"].summary(),
+                "gateway_not_in_force": s["probes"]["standing"],
+                "probes": s["probes"]["probes"],
+                "added": added([s["sides"]]),
+            }
+            for name, s in scenarios.items()
+        },
+        "points": points,
+        "slopes": slopes(points),
+    }
+    return {
+        "plan": asdict(run.plan),
+        "machine": {
+            "cores": psutil.cpu_count(),
+            "memory_mb": int(psutil.virtual_memory().total / 1e6),
+            "python": platform.python_version(),
+        },
+        "took_s": took_s,
+        "schedule": kept,
+        "over_bound": run.over,
+        "broken": run.broken,
+        "memory_most_mb": run.children.most_bytes / 1e6,
+        "figures" if kept["kept"] else "void": figures,
+    }
+
+
+ROLE_COLUMNS = (
+    "role", "count", "MB", "cpu s/s", "kB/s", "messages/s", "in force ms p50", "p99", "most", "ready s",
+    "added ms p50", "p99",
+)  # fmt: skip
+SLOPE_COLUMNS = ("of", "by one of", "slope", "unit", "at zero", "residual/rise", "sizes")
+
+
+def number(value: float | None) -> str:
+    if value is None:
+        return "-"
+    return f"{value:.3g}" if abs(value) < 1000 else f"{value:.0f}"
+
+
+def report(found: dict[str, Any]) -> str:
+    """The table: a line a role, then a line a slope. An overloaded rig has no figures, only the reasons."""
+    notes = [
+        *(f"over the bound: {name}" for name in found["over_bound"]),
+        *(f"broken: {what}" for what in found["broken"]),
+        *(f"the schedule was not kept: {why}" for why in found["schedule"]["why"]),
+    ]
+    figures = found.get("figures")
+    if figures is None:
+        return "\n".join([*notes, "no figures: they are those of an overloaded rig"])
+    rows = []
+    for name, role in figures["roles"].items():
+        force, straight = role.get("in_force") or {}, role.get("added") or {}
+        cells = [
+            role["resident_mb"], role["cpu_s_per_s"], role["bytes_per_s"] / 1e3, role["messages_per_s"],
+            force.get("p50_ms"), force.get("p99_ms"), force.get("most_ms"), role.get("ready_s"),
+            straight.get("p50_ms"), straight.get("p99_ms"),
+        ]  # fmt: skip
+        rows.append([name, str(role["count"]), *map(number, cells)])
+    lines = []
+    for kind, by in figures["slopes"].items():
+        over = sum(bool(p.get("over_bound") or p.get("over_time")) for p in figures["points"][kind])
+        for what, line in by.items():
+            title, factor, unit = UNITS[what]
+            if line is None:
+                lines.append([title, f"{kind}: too few sizes ended whole"])
+                continue
+            share, count = (
+                line["residual_share"],
+                f"{len(line['sizes'])}" + (f", {over} over" if over else ""),
+            )
+            lines.append(
+                [title, kind, number(line["slope"] * factor), unit, number(line["at_zero"] * factor),
+                 number(share), count]
+            )  # fmt: skip
+    return "\n".join([table(ROLE_COLUMNS, rows), "", table(SLOPE_COLUMNS, lines), *notes])
+
+
+async def play(plan: Plan, out: Path, say: Say) -> dict[str, Any]:
+    """The whole run; every child has ended when it returns, also by an exception."""
+    began = time.monotonic()
+    logs = out / "logs"
+    logs.mkdir(parents=True, exist_ok=True)
+    async with Children(plan.memory_mb, logs) as children:
+        run = Run(plan, children, out, say)
+        await run.open()
+        points = await run.sweep()
+        await run.set_fleet(plan.servers)
+        try:
+            points["gateways"] = await run.step_hollow() if plan.hollow else []
+        except OverBound as error:
+            run.over.append(str(error))
+            points["gateways"] = []
+            for child in run.hollows:
+                await children.end(child, gently=False)
+            run.hollows.clear()
+        try:
+            if plan.real:
+                await run.start_reals()
+        except (OverBound, TimeoutError) as error:
+            run.over.append(str(error) or f"real gateways (not ready after {START_S:g} s)")
+            for child in [c for c in children.running if c.name.startswith("real-")]:
+                await children.end(child, gently=False)
+            run.reals.clear()
+        scenarios = {}
+        for name in plan.scenarios:
+            say(f"{name}: {plan.seconds:g} s")
+            scenarios[name] = await run.scenario(name)
+        return result(run, points, scenarios, time.monotonic() - began)
+
+
+__all__ = ["ChildError", "Plan", "play", "report"]
--- a/lab/schedule.py
+++ b/lab/schedule.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from operator import itemgetter
 
 import numpy as np
 from numpy.typing import NDArray
 
+from lab import fleet
+
 Ints = NDArray[np.int64]
 Floats = NDArray[np.float64]
 
@@ -34,3 +39,113 @@
     total = np.cumsum(np.arange(1, kinds + 1, dtype=np.float64) ** -SKEW)
     chosen: Ints = np.searchsorted(total, rng.random(count) * total[-1], side="right")
     return chosen.clip(0, kinds - 1)
+
+
+# Churn: what happens at discovery, as (seconds after the start, what, servers). What is a status, down or up.
+
+Change = tuple[float, str, list[int]]
+DRAIN_S = 0.5  # from leaving to left
+DOWN_S = 1.0  # from left to active again
+PLANNED = 2_100  # an ordinary day restarts so many servers, or their part, in a second
+LEAST_PER_S = 4.0  # small fleets restart no less often: enough to measure
+WAVE = 0.02  # share of a zone's servers that a release restarts at once
+OUTAGE_SHARE = 0.3  # of the time, discovery is down
+
+
+def restart(at_s: float, servers: list[int]) -> list[Change]:
+    """They drain, leave and start anew."""
+    return [
+        (at_s, "leaving", servers),
+        (at_s + DRAIN_S, "left", servers),
+        (at_s + DRAIN_S + DOWN_S, "active", servers),
+    ]
+
+
+def ordinary(rng: np.random.Generator, servers: int, seconds: float) -> list[Change]:
+    """Single servers are restarted at random; none again before it is back."""
+    free_at = np.zeros(servers)
+    changes: list[Change] = []
+    for at_s in arrivals(rng, max(LEAST_PER_S, servers / PLANNED), seconds).tolist():
+        number = int(rng.integers(servers))
+        if free_at[number] <= at_s:
+            free_at[number] = at_s + 2 * (DRAIN_S + DOWN_S)
+            changes += restart(at_s, [number])
+    return changes
+
+
+def release(rng: np.random.Generator, servers: int, seconds: float) -> list[Change]:
+    """Zone after zone, wave after wave, evenly over the time: every server is restarted once."""
+    waves: list[list[int]] = []
+    for zone in range(len(fleet.ZONES)):
+        numbers = rng.permutation(np.arange(zone, servers, len(fleet.ZONES))).tolist()
+        size = max(1, round(len(numbers) * WAVE))
+        waves += [numbers[first : first + size] for first in range(0, len(numbers), size)]
+    return [change for n, wave in enumerate(waves) for change in restart(n * seconds / len(waves), wave)]
+
+
+def _cut(servers: list[int], seconds: float) -> list[Change]:
+    """They are gone at once and without a word, and return together."""
+    return [(seconds * 0.2, "left", servers), (seconds * 0.6, "active", servers)] if servers else []
+
+
+def rack(rng: np.random.Generator, servers: int, seconds: float) -> list[Change]:
+    """The servers of one rack."""
+    chosen = fleet.rack_of(int(rng.integers(servers)))
+    return _cut([n for n in range(servers) if fleet.rack_of(n) == chosen], seconds)
+
+
+def zone(rng: np.random.Generator, servers: int, seconds: float) -> list[Change]:
+    """The servers of one zone."""
+    chosen = str(rng.choice(fleet.ZONES))
+    return _cut([n for n in range(servers) if fleet.zone_of(n) == chosen], seconds)
+
+
+def region(rng: np.random.Generator, servers: int, seconds: float) -> list[Change]:
+    """The servers of one region."""
+    chosen = fleet.REGIONS[str(rng.choice(list(fleet.REGIONS)))]
+    return _cut([n for n in range(servers) if fleet.zone_of(n) in chosen], seconds)
+
+
+def outage(rng: np.random.Generator, servers: int, seconds: float) -> list[Change]:
+    """Discovery is down for a while amid an ordinary day, and all gateways return to it together."""
+    down: list[Change] = [(seconds * 0.2, "down", []), (seconds * (0.2 + OUTAGE_SHARE), "up", [])]
+    return ordinary(rng, servers, seconds) + down
+
+
+SCENARIOS: dict[str, Callable[[np.random.Generator, int, float], list[Change]]] = {
+    "ordinary": ordinary,
+    "release": release,
+    "rack": rack,
+    "zone": zone,
+    "region": region,
+    "outage": outage,
+}
+
+
+def churn(seed: int, scenario: str, servers: int, seconds: float) -> list[Change]:
+    """One scenario's changes in order of time; at the end of the last all servers are active again."""
+    rng = stream(seed, f"churn {scenario}")
+    return sorted(SCENARIOS[scenario](rng, servers, seconds), key=itemgetter(0))
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """Requests of clients, or of one process of hollow gateways: equal lengths, in order of time."""
+
+    times_s: list[float]
+    routes: list[int]
+    tenants: list[int]
+    targets: list[int]  # which gateway, evenly
+
+
+def requests(
+    seed: int, concern: str, rate_per_s: float, seconds: float, routes: int, tenants: int, targets: int
+) -> Asked:
+    rng = stream(seed, concern)
+    times = arrivals(rng, rate_per_s, seconds)
+    return Asked(
+        times.tolist(),
+        zipf(rng, routes, len(times)).tolist(),
+        zipf(rng, tenants, len(times)).tolist(),
+        rng.integers(targets, size=len(times)).tolist(),
+    )
