--- a/lab/registry.py
+++ b/lab/registry.py
@@ -203,6 +203,12 @@
             self.written.append((*known_as, at_ns))
         return at_ns
 
+    def restore(self) -> None:
+        """Every server is active again, at once."""
+        away = [n for n in range(len(self.template)) if self.entries.get(n, {}).get("status") != "active"]
+        if away:
+            self.change(((n, "active") for n in away), restarted=True)
+
     async def play(self, changes: list[tuple[float, str, list[int]]], start_ns: int) -> None:
         """Carry out (seconds after the start, what, servers), each at its time."""
         for at_s, what, numbers in changes:
@@ -231,6 +237,8 @@
             case "played":
                 await self.playing
                 return None
+            case "restore":
+                return self.restore()
             case "change":
                 return self.change([(order["server"], order["status"])], restarted=False)
             case "written":
