--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -69,6 +69,7 @@
 
 def bounded(arguments: list[str], memory_mb: int) -> dict[str, Any]:
     """What a child prints as JSON; it is ended once it holds more than `memory_mb` megabytes."""
+    before = signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that the child is ended too
     with subprocess.Popen([sys.executable, "-m", *arguments], stdout=subprocess.PIPE, text=True) as child:
         try:
             process = psutil.Process(child.pid)
@@ -84,6 +85,7 @@
         finally:
             if child.poll() is None:
                 child.kill()
+            signal.signal(signal.SIGTERM, before)
 
 
 @lab.command("module")
@@ -122,13 +124,13 @@
 
 
 @lab.command("scale")
-@click.option("--servers", type=click.IntRange(1, 4200), default=200, show_default=True)
-@click.option("--routes", type=click.IntRange(1, 10_000), default=15, show_default=True)
-@click.option("--tenants", type=click.IntRange(1, 100_000), default=15, show_default=True)
+@click.option("--servers", type=click.IntRange(4, 4200), default=200, show_default=True)
+@click.option("--routes", type=click.IntRange(4, 10_000), default=15, show_default=True)
+@click.option("--tenants", type=click.IntRange(4, 100_000), default=15, show_default=True)
 @click.option(
-    "--hollow", type=click.IntRange(0, 1000), default=16, show_default=True, help="Hollow gateways."
+    "--hollow", type=click.IntRange(4, 1000), default=16, show_default=True, help="Hollow gateways."
 )
-@click.option("--real", type=click.IntRange(0, 64), default=2, show_default=True, help="Real gateways.")
+@click.option("--real", type=click.IntRange(1, 64), default=2, show_default=True, help="Real gateways.")
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
 @click.option(
     "--rate",
--- a/lab/scale.py
+++ b/lab/scale.py
@@ -251,71 +251,72 @@
         plan = self.plan
         count = min(plan.hollow, max(LEAST_PROCESSES, math.ceil(plan.hollow / PER_PROCESS)))
         path, _ = self.write_config("hollow", plan.servers, plan.routes, plan.tenants, 0, plan.hollow)
-        for n in range(count):
-            child = await self.children.start(f"hollow-{n}", "lab.hollow")
-            self.hollows.append(child)
-        base_bytes = sum(
-            await asyncio.gather(
-                *(
-                    child.ask(
-                        "read", path=str(path.resolve()), address=self.addresses["hollow"], seed=plan.seed + n
-                    )
-                    for n, child in enumerate(self.hollows)
-                )
-            )
-        )
-        points, present = [], 0
-        for size in sizes(plan.hollow):
-            self.say(f"{size} hollow gateways")
-            per_child = [part(size, count, n) - part(present, count, n) for n in range(count)]
-            began = time.monotonic()
-            await asyncio.gather(
-                *(
-                    child.ask("add", count=more, first=present + sum(per_child[:n]), seed=plan.seed)
-                    for n, (child, more) in enumerate(zip(self.hollows, per_child, strict=True))
-                )
-            )
-            add_s, present = time.monotonic() - began, size
-            await self.watching("hollow", size)
-            await asyncio.gather(
-                *(
-                    child.ask("ask", rate=plan.hollow_rate, routes=plan.routes, tenants=plan.tenants,
-                              seed=plan.seed + 1000 * n)
-                    for n, child in enumerate(self.hollows)
+        self.hollows = [await self.children.start(f"hollow-{n}", "lab.hollow") for n in range(count)]
+        points: list[dict[str, Any]] = []
+        size = 0
+        try:
+            base_bytes = sum(
+                await self.ask_hollow(
+                    "read",
+                    [{"seed": plan.seed + n} for n in range(count)],
+                    path=str(path.resolve()),
+                    address=self.addresses["hollow"],
                 )
-            )  # fmt: skip
-            before = await self.read()
-            seconds = min(STEP_S, plan.seconds)
-            churn = [
-                c for c in schedule.churn(plan.seed, "ordinary", plan.servers, seconds) if c[0] < seconds
-            ]
-            await self.registry.ask("play", changes=churn, start_ns=time.monotonic_ns())
-            await asyncio.sleep(seconds)
-            after = await self.read()
-            await self.registry.ask("played")
-            await self.registry.ask("restore")
-            await asyncio.sleep(SETTLE_S / 2)
-            force = await self.force()
-            took = after.at - before.at
-            told = {
-                what: (after.registry["hollow"][what] - before.registry["hollow"][what]) / took
-                for what in ("bytes", "messages")
-            }
-            cpu = sum(after.cpu_s[child.name] - before.cpu_s[child.name] for child in self.hollows)
-            points.append(
-                {
-                    "size": size,
-                    "add_s": add_s,
-                    "registry_cpu_s_per_s": (after.cpu_s["registry"] - before.cpu_s["registry"]) / took,
-                    "registry_bytes_per_s": told["bytes"],
-                    "registry_messages_per_s": told["messages"],
-                    "hollow_bytes": sum(child.resident() for child in self.hollows) - base_bytes,
-                    "hollow_cpu_s_per_s": cpu / took,
-                    "in_force": force["hollow"].summary(),
-                }
             )
+            for size in sizes(plan.hollow):
+                self.say(f"{size} hollow gateways")
+                points.append(await self.hollow_point(size, points[-1]["size"] if points else 0, base_bytes))
+        except OverBound as error:
+            self.over.append(f"{size} hollow gateways: {error}")
+            points.append({"size": size, "over_bound": True})
+            for child in self.hollows:
+                await self.children.end(child, gently=False)
+            self.hollows.clear()
         return points
 
+    async def ask_hollow(self, do: str, each: list[dict[str, Any]], **order: Any) -> list[Any]:
+        """One order to every process of hollow gateways, with its own part; their answers."""
+        asked = (child.ask(do, **order, **own) for child, own in zip(self.hollows, each, strict=True))
+        return list(await asyncio.gather(*asked))
+
+    async def hollow_point(self, size: int, present: int, base_bytes: int) -> dict[str, Any]:
+        plan, count = self.plan, len(self.hollows)
+        more = [part(size, count, n) - part(present, count, n) for n in range(count)]
+        began = time.monotonic()
+        firsts = [present + sum(more[:n]) for n in range(count)]
+        adds = [{"count": c, "first": first} for c, first in zip(more, firsts, strict=True)]
+        await self.ask_hollow("add", adds, seed=plan.seed)
+        add_s = time.monotonic() - began
+        await self.watching("hollow", size)
+        seeds = [{"seed": plan.seed + 1000 * n} for n in range(count)]
+        await self.ask_hollow("ask", seeds, rate=plan.hollow_rate, routes=plan.routes, tenants=plan.tenants)
+        seconds = min(STEP_S, plan.seconds)
+        churn = [c for c in schedule.churn(plan.seed, "ordinary", plan.servers, seconds) if c[0] < seconds]
+        before = await self.read()
+        await self.registry.ask("play", changes=churn, start_ns=time.monotonic_ns())
+        await asyncio.sleep(seconds)
+        after = await self.read()
+        await self.registry.ask("played")
+        await self.registry.ask("restore")
+        await asyncio.sleep(SETTLE_S / 2)
+        force = await self.force()
+        took = after.at - before.at
+        told = {
+            what: (after.registry["hollow"][what] - before.registry["hollow"][what]) / took
+            for what in ("bytes", "messages")
+        }
+        cpu = sum(after.cpu_s[child.name] - before.cpu_s[child.name] for child in self.hollows)
+        return {
+            "size": size,
+            "add_s": add_s,
+            "registry_cpu_s_per_s": (after.cpu_s["registry"] - before.cpu_s["registry"]) / took,
+            "registry_bytes_per_s": told["bytes"],
+            "registry_messages_per_s": told["messages"],
+            "hollow_bytes": sum(child.resident() for child in self.hollows) - base_bytes,
+            "hollow_cpu_s_per_s": cpu / took,
+            "in_force": force["hollow"].summary(),
+        }
+
     async def force(self) -> dict[str, Any]:
         """What the hollow gateways heard of what discovery has written since the last call."""
         changes = await self.registry.ask("written")
@@ -515,6 +516,7 @@
             "processes": len(children),
             "resident_mb": sum(child.resident() for child in children) / count / 1e6,
             "cpu_s_per_s": rates(scenarios, [child.name for child in children]) / count,
+            "busiest_cpu_s_per_s": max(rates(scenarios, [child.name]) for child in children),
             "bytes_per_s": bytes_ / took / count,
             "messages_per_s": messages / took / count,
         }
@@ -666,6 +668,8 @@
     figures = found.get("figures")
     if figures is None:
         return "\n".join([*notes, "no figures: they are those of an overloaded rig"])
+    busiest = {name: role["busiest_cpu_s_per_s"] for name, role in figures["roles"].items()}
+    notes += [f"{name}: one took {busy:.2f} of a core" for name, busy in busiest.items() if busy > FULL_CORE]
     rows = []
     for name, role in figures["roles"].items():
         force, straight = role.get("in_force") or {}, role.get("added") or {}
@@ -715,17 +719,9 @@
         await run.open()
         points = await run.sweep()
         await run.set_fleet(plan.servers)
+        points["gateways"] = await run.step_hollow()
         try:
-            points["gateways"] = await run.step_hollow() if plan.hollow else []
-        except OverBound as error:
-            run.over.append(str(error))
-            points["gateways"] = []
-            for child in run.hollows:
-                await children.end(child, gently=False)
-            run.hollows.clear()
-        try:
-            if plan.real:
-                await run.start_reals()
+            await run.start_reals()
         except (OverBound, TimeoutError) as error:
             run.over.append(str(error) or f"real gateways (not ready after {START_S:g} s)")
             for child in [c for c in children.running if c.name.startswith("real-")]:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -251,6 +251,21 @@
     assert line.startswith("lab: ")
 
 
+def test_the_decisions_alone_are_measured(capsys: pytest.CaptureFixture[str], tmp_path: Path) -> None:
+    with pytest.raises(SystemExit) as ended:
+        lab.main(["module", "--size", "6x2x3", "--out", str(tmp_path / "out.json")])
+    assert ended.value.code == 0 and "6x2x3" in capsys.readouterr().out
+    (size,) = json.loads((tmp_path / "out.json").read_text())["sizes"]
+    assert size["calm"]["refused_share"] < 0.05 < size["shedding"]["refused_share"]
+    assert size["memory_list_bytes"] > 0 and size["restart_ms"] > 0
+
+
+def test_a_size_over_the_bound_is_said_so(capsys: pytest.CaptureFixture[str]) -> None:
+    with pytest.raises(SystemExit) as ended:
+        lab.main(["module", "--size", "6x2x3", "--memory-mb", "1"])
+    assert ended.value.code == 1 and "over the bound" in capsys.readouterr().out
+
+
 TINY = (
     "--servers=8",
     "--routes=4",
