--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -16,7 +16,8 @@
 import psutil
 import uvloop
 
-from lab import module, scale, schedule
+from lab import module, report, scale, schedule
+from lab.processes import ChildError
 from lab.tables import table
 
 DEFAULT_SIZES = ("10x3x2", "200x3x2", "4200x3x2", "10x3400x2", "10x3x2300")
@@ -188,14 +189,14 @@
 
     try:
         found = run_interruptible(scale.play(plan, out, say))
-    except scale.ChildError as error:
+    except ChildError as error:
         print(f"lab: {error}; see {out / 'logs'}", file=sys.stderr)
         return 1
     if found is None:
         print("lab: interrupted; every child has ended", file=sys.stderr)
         return 130
     (out / "result.json").write_text(json.dumps(found, indent=1) + "\n", encoding="utf-8")
-    print(scale.report(found))
+    print(report.report(found))
     if not found["schedule"]["kept"]:
         return 3
     return 1 if found["over_bound"] or found["broken"] else 0
