Test that idle clients leave descriptors for discovery, hosts and readiness

306 idle clients and 31 questions for readiness come to a real process with 256 descriptors while discovery is down; it returns, tells of another host, and the clients that were being served are served there. The test counts the process's descriptors at each connection.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -68,15 +68,22 @@
     def __init__(self) -> None:
         self.connections = 0
         self.writers: list[asyncio.StreamWriter] = []
+        self.sock: socket.socket | None = None
         self.listener: asyncio.Server | None = None
         self.address = ""
 
-    async def start(self) -> None:
-        sock = small_socket()
-        sock.bind(("127.0.0.1", 0))
-        self.listener = await asyncio.start_server(self.accept, sock=sock)
-        host, port = self.listener.sockets[0].getsockname()
+    def bind(self) -> str:
+        """Take a port, where connections are refused until the start; returns the address."""
+        self.sock = small_socket()
+        self.sock.bind(("127.0.0.1", 0))
+        host, port = self.sock.getsockname()
         self.address = f"{host}:{port}"
+        return self.address
+
+    async def start(self) -> None:
+        if self.sock is None:
+            self.bind()
+        self.listener = await asyncio.start_server(self.accept, sock=self.sock)
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -20,7 +20,20 @@
 from rosedeal.gateway.config import load_config
 from rosedeal.interface import AttemptEnded, PeerMessage, TellPeers
 from rosedeal.wire import parse_settings
-from tests.sockets import PATIENCE_S, Client, Host, Registry, ask, configuration, gateway, run, settings
+from tests.sockets import (
+    PATIENCE_S,
+    Client,
+    Host,
+    Registry,
+    ask,
+    chunk,
+    configuration,
+    entry,
+    gateway,
+    news,
+    run,
+    settings,
+)
 
 
 def start(path: Path | str, **environ: str) -> subprocess.CompletedProcess[str]:
@@ -103,7 +116,7 @@
 
 @asynccontextmanager
 async def process(
-    host: Host, tmp_path: Path, **environ: str
+    host: Host, tmp_path: Path, sockets: int = 1024, **environ: str
 ) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
     registry = Registry()
     await host.start()
@@ -111,9 +124,9 @@
     with socket.create_server(("127.0.0.1", 0)) as free:
         port = free.getsockname()[1]
     path = tmp_path / "config.json"
-    path.write_text(
-        json.dumps(configuration({"h0": host.address}, registry.address, listen=f"127.0.0.1:{port}"))
-    )
+    listen, limits = f"127.0.0.1:{port}", {"sockets": sockets}
+    raw = configuration({"h0": host.address}, registry.address, listen=listen, limits=limits)
+    path.write_text(json.dumps(raw))
     child = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -123,7 +136,8 @@
     )
     try:
         assert child.stderr is not None
-        assert b"listens" in await child.stderr.readline()
+        while b"listens" not in (line := await child.stderr.readline()):
+            assert b"discovery: no connection" in line or b"could not be read" in line
         yield child, port
     finally:
         if child.returncode is None:
@@ -347,6 +361,48 @@
     run(test())
 
 
+def test_idle_clients_leave_descriptors_for_discovery_hosts_and_readiness(tmp_path: Path) -> None:
+    async def test() -> None:
+        host, other, discovery = Host(), Host(), Registry()
+        await other.start()
+        where, sockets = discovery.bind(), 256
+        async with process(host, tmp_path, sockets, ROUTER_DISCOVERY=where) as (child, port):
+
+            async def connect() -> Client:
+                client = Client(*await asyncio.open_connection("127.0.0.1", port))
+                assert len(os.listdir(f"/proc/{child.pid}/fd")) < sockets
+                return client
+
+            async def is_ready() -> bool:
+                return (await (await connect()).ask(b"GET /health/ready HTTP/1.1\r\n\r\n"))[0] == 200
+
+            held = [await connect() for _ in range(3)]
+            for client in held:
+                client.send(ask("buy"))
+            taken = [await host.taken.get() for _ in held]
+            idle = []
+            for number in range(sockets + 50):
+                idle.append(await connect())
+                assert number % 10 or await is_ready()
+            await discovery.start()
+            _, watch = await discovery.watches.get()
+            watch.write(chunk(news(entry("h1", other.address), index=8, snapshot=True)))
+            assert await is_ready()
+            for request in taken:
+                request.answer()
+            for client in held:
+                assert (await client.answer())[0] == 200
+                client.send(ask("buy"))
+                (await other.taken.get()).answer()
+                assert (await client.answer())[0] == 200
+            for client in idle:
+                client.writer.transport.abort()
+        other.stop()
+        discovery.stop()
+
+    run(test())
+
+
 def test_an_idle_connection_does_not_hold_up_the_end(tmp_path: Path) -> None:
     async def test() -> None:
         async with process(Host(), tmp_path) as (child, port):
