Look at the client's socket before each attempt, so that none begins after its close

Cause: an attempt was written as long as the loop had not read the client's end.

Change: Proxy.is_wanted asks the socket (POLLRDHUP: closed, half closed or reset, whatever waits unread before it) as an attempt is sent, and once more as a new connection has come up for it. A client that has left takes the ordinary way out (leave), so that the balancer hears of it before it hears of the attempt.

Measured: nine cases (first attempt, on a new connection, further attempt; closed, half closed, reset), each with the end in the socket at the moment in question: nothing is sent.

Ruled out: reading by hand before sending, which would change the order of what the connections bring; and a shorter turn alone, as no bound on it can be kept on a part of a core.

--- a/rosedeal/gateway/downstream.py
+++ b/rosedeal/gateway/downstream.py
@@ -5,6 +5,7 @@
 import asyncio
 import hashlib
 import logging
+import select
 from collections import deque
 from dataclasses import dataclass, field
 from functools import partial
@@ -150,6 +151,14 @@
         self.server.drop(self)
         self.depart()
 
+    def has_left(self) -> bool:
+        """Whether the client has closed, or only its sending side, also where that is still to be read."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def depart(self) -> None:
         """The client has gone: nothing is owed to it any more."""
         self.closing = True
@@ -253,7 +262,7 @@
         if self.refusing:
             raise BadRequest(503, "too many connections")
         asked = self.server.read_request(incoming, self.server.loop.time())
-        request = self.server.proxy.arrive(asked, partial(self.answer, incoming))
+        request = self.server.proxy.arrive(asked, partial(self.answer, incoming), self.has_left)
         if request is not None and request.reply is not None:
             self.request = request
 
--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -12,6 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from rosedeal.choice import Balancer
 from rosedeal.gateway.config import Address, Config
@@ -92,6 +93,7 @@
     asked: Asked
     deadline_us: int
     reply: Reply | None  # None once it has had its final answer, or its client has gone
+    has_left: Callable[[], bool]  # whether its client's connection has ended, read by the loop or not
     last_resort: asyncio.TimerHandle | None = None
     attempts: list[Exchange | None] = field(default_factory=list)
     out: int = 0
@@ -222,14 +224,16 @@
 
     # Requests
 
-    def arrive(self, asked: Asked, reply: Reply) -> Request | None:
+    def arrive(
+        self, asked: Asked, reply: Reply, has_left: Callable[[], bool] = lambda: False
+    ) -> Request | None:
         """Take a request: `reply` is called exactly once, unless `leave` comes first."""
         if 0 < self.settings.max_open_requests <= self.open:
             reply(plain(503, "too many requests"))
             return None
         self.taken += 1
         patience_us = max(0, asked.timeout_us - asked.waited_us - TRANSIT_US)
-        request = Request(str(self.taken), asked, self.clock.now_us() + patience_us, reply)
+        request = Request(str(self.taken), asked, self.clock.now_us() + patience_us, reply, has_left)
         self.requests[request.id] = request
         self.open += 1
         delay_s = (patience_us + LAST_RESORT_US) / 1e6
@@ -249,6 +253,16 @@
         )
         return request
 
+    def is_wanted(self, request: Request) -> bool:
+        """Whether its client still waits, as its socket says now: asked before each attempt is written.
+
+        Guards against a turn of the loop that takes long, as for a list of thousands of hosts: timers and
+        hosts' answers may come before the client's end is read, and what they send began long after it.
+        """
+        if request.reply is not None and request.has_left():
+            self.leave(request)
+        return request.reply is not None
+
     def leave(self, request: Request) -> None:
         """The client has closed its connection."""
         if request.reply is not None:
@@ -299,7 +313,7 @@
             return
         number, sent_us = len(request.attempts), self.clock.now_us()
         left_us = min(action.timeout_us, request.deadline_us - sent_us)
-        if request.reply is None or left_us <= 0 or number >= self.settings.max_attempts:
+        if not self.is_wanted(request) or left_us <= 0 or number >= self.settings.max_attempts:
             request.attempts.append(None)
             self.events.append(
                 AttemptEnded(request.id, number, action.server, Outcome.MOOT, 0, request.reply is None)
@@ -326,7 +340,8 @@
 
         request.out += 1
         payload = request_bytes(request.asked, left_us)
-        request.attempts.append(self.upstream.send(action.server, payload, left_us / 1e6, ended))
+        wanted = partial(self.is_wanted, request)
+        request.attempts.append(self.upstream.send(action.server, payload, left_us / 1e6, ended, wanted))
 
     def report(self, answer: Answer | None) -> tuple[tuple[str, float], ...]:
         if answer is None or self.settings.reports.mode is not ReportMode.ANSWERS:
--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -57,10 +57,13 @@
 class Exchange:
     """One request to one host."""
 
-    __slots__ = ("_ended", "_loop", "connection", "done", "payload", "timer", "written")
+    __slots__ = ("_ended", "_loop", "connection", "done", "is_wanted", "payload", "timer", "written")
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, payload: bytes, ended: Ended) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, payload: bytes, ended: Ended, is_wanted: Callable[[], bool]
+    ) -> None:
         self.payload = payload
+        self.is_wanted = is_wanted  # asked before it is written on a connection that took time to come up
         self._loop = loop
         self._ended = ended
         self.connection: HostConnection | None = None
@@ -133,7 +136,7 @@
         # With no room in the buffer, pause_writing and resume_writing tell exactly when bytes are held back.
         self.transport.set_write_buffer_limits(high=0)
         exchange = self.exchange
-        if exchange is None or exchange.done:
+        if exchange is None or exchange.done or not exchange.is_wanted():
             self.abort()
         else:
             self.write(exchange)
@@ -307,8 +310,15 @@
 
     # Exchanges
 
-    def send(self, number: HostId, payload: bytes, timeout_s: float, ended: Ended) -> Exchange:
-        exchange = Exchange(self.loop, payload, ended)
+    def send(
+        self,
+        number: HostId,
+        payload: bytes,
+        timeout_s: float,
+        ended: Ended,
+        is_wanted: Callable[[], bool] = lambda: True,
+    ) -> Exchange:
+        exchange = Exchange(self.loop, payload, ended, is_wanted)
         host = self.hosts.get(number)
         if host is None or host.draining:
             exchange.lost()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import socket
+import struct
 from typing import Any
 
 from collections.abc import Callable
@@ -585,6 +586,73 @@
     run(test())
 
 
+def end_by(how: str, client: socket.socket) -> None:
+    """The client's end, in its socket at once."""
+    if how == "half":
+        client.shutdown(socket.SHUT_WR)
+        return
+    if how == "reset":
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.close()
+
+
+@pytest.mark.parametrize("how", ["closed", "half", "reset"])
+@pytest.mark.parametrize("attempt", ["first", "on a new connection", "further"])
+def test_no_attempt_begins_once_the_client_has_left_however_late_that_is_read(
+    attempt: str, how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The loop had yet to read the client's end when the attempt came up: it was written."""
+
+    async def test() -> None:
+        async with gateway(settings=settings(maxAttempts=2)) as it:
+            decide(it, ["h0"] * 4, "h0")
+            assert it.downstream.listener is not None
+            client = socket.create_connection(it.downstream.listener.sockets[0].getsockname())
+            arrive, connected = it.proxy.arrive, HostConnection.connection_made
+            handle = it.proxy.balancer.handle
+
+            def last_moment(*given: Any, **named: Any) -> Any:
+                end_by(how, client)
+                return arrive(*given, **named)
+
+            def comes_up(connection: HostConnection, transport: asyncio.BaseTransport) -> None:
+                end_by(how, client)
+                connected(connection, transport)
+
+            def decides(now_us: int, event: Event) -> list[Action]:
+                if isinstance(event, AttemptEnded) and event.outcome is Outcome.TIMEOUT:
+                    end_by(how, client)
+                return handle(now_us, event)
+
+            warm = [await it.client() for _ in range(0 if attempt == "on a new connection" else 2)]
+            for other in warm:  # two connections rest, and need no time to come up
+                other.send(ask())
+            for taken in [await it.host.taken.get() for _ in warm]:
+                taken.answer()
+            for other in warm:
+                assert (await other.answer())[0] == 200
+            it.events.clear()
+            if attempt == "first":
+                monkeypatch.setattr(it.proxy, "arrive", last_moment)
+            elif attempt == "on a new connection":
+                monkeypatch.setattr(HostConnection, "connection_made", comes_up)
+            else:
+                monkeypatch.setattr(it.proxy.balancer, "handle", decides)
+            client.send(ask())
+            if attempt == "further":
+                await it.host.taken.get()
+                (request,) = it.proxy.requests.values()
+                time_out(request, it)
+            await it.event(RequestGone)
+            await until(lambda: not it.proxy.requests)
+            monkeypatch.undo()
+            client.close()
+            await it.served(await it.client(), ask(Request_Id="stayed"))
+            assert it.host.taken.empty() and it.proxy.open == 0
+
+    run(test())
+
+
 @pytest.mark.parametrize("draining", [False, True])
 def test_clients_that_leave_in_a_burst_while_they_wait_are_not_sent_on(
     draining: bool, monkeypatch: pytest.MonkeyPatch
