Freeze what a start has built, so that no full collection looks at thousands of known hosts

Cause: objects were frozen once the configuration was read, and the known list, the hosts and what the balancer holds of them came after that: each full collection went through all of them, within some request's time.

Change: serve collects and freezes once more before it listens. What is replaced later goes by its reference count.

The test fails without the change.

Ruled out: collecting nothing during the start.

--- a/rosedeal/__main__.py
+++ b/rosedeal/__main__.py
@@ -36,6 +36,8 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
     downstream = Downstream(config, proxy, loop)
     await proxy.start()
+    gc.collect()
+    gc.freeze()  # the hosts known stay as long as the process: no collection need look at thousands of them
     await downstream.start()
     log.info("%s listens on %s:%d", config.name, *config.listen)
     await told.wait()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import os
 import signal
@@ -16,8 +17,11 @@
 
 import pytest
 
-from rosedeal.gateway import downstream
+from rosedeal.__main__ import serve
+from rosedeal.gateway import downstream, upstream
 from rosedeal.gateway.config import load_config
+from rosedeal.gateway.discovery import Entry
+from rosedeal.gateway.downstream import Downstream
 from rosedeal.interface import AttemptEnded, PeerMessage, TellPeers
 from rosedeal.wire import parse_settings
 from tests.sockets import (
@@ -106,6 +110,29 @@
         assert done.returncode != 0 and len(done.stderr.splitlines()) == 1
 
 
+def test_no_collection_looks_at_what_was_known_at_the_start(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each full one did, in the path of requests."""
+
+    async def test() -> None:
+        path, listens = tmp_path / "config.json", asyncio.Event()
+        path.write_text(json.dumps(configuration({"h0": "127.0.0.1:1"}, "127.0.0.1:1")))
+
+        async def start(_: Downstream) -> None:
+            listens.set()
+
+        monkeypatch.setattr(Downstream, "start", start)
+        serving = asyncio.create_task(serve(load_config({"ROUTER_CONFIG": str(path)})))
+        await listens.wait()
+        looked_at = [known for known in gc.get_objects() if isinstance(known, Entry | upstream.Host)]
+        gc.unfreeze()
+        serving.cancel()
+        assert not looked_at
+
+    run(test())
+
+
 def test_an_address_in_use_is_one_line_and_a_failure(tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as taken:
         path = tmp_path / "config.json"
