Let go of the known list's text once it is held as hosts

Cause: the configuration kept the list as it stood in the file for as long as the process, beside the entries read from it.

Change: Proxy.start empties it; nothing reads it again. The test fails without the change.

--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -139,6 +139,7 @@
                 lambda: Peers(self.on_datagram), local_addr=self.config.peer_listen
             )
         self.discovery.start(self.config.known)
+        self.config.known.clear()  # the list is held as it was read: the text of thousands of hosts is not
         self.loop.call_later(SWEEP_S, self.sweep)
 
     def sweep(self) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -553,6 +553,7 @@
     async def test() -> None:
         for hosts, status in ((1, 200), (0, 503)):
             async with gateway(hosts=hosts) as it:
+                assert not it.proxy.config.known  # it stayed for good, beside the list as it was read
                 client = await it.client()
                 assert (await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n"))[0] == status
 
