Join a message of discovery once it is whole, not anew with each of its pieces

Cause: Messages.feed put the unfinished line and the new piece together and split the whole again, and `size` summed up the lines of an unfinished object, with each piece that came: work that grows with the square of the list.

Change: pieces are kept and joined when their line ends; the sizes are counted along.

Ruled out as left over: the pass over each line that counts its braces, which the indented form pays for by the line.

--- a/rosedeal/gateway/discovery.py
+++ b/rosedeal/gateway/discovery.py
@@ -117,18 +117,31 @@
     """Cuts what a watch brings into its JSON objects, each on one line or indented over several."""
 
     def __init__(self) -> None:
-        self.rest = b""  # of a line that has not ended
+        self.rest: list[bytes] = []  # pieces of a line that has not ended
+        self.rest_size = 0
         self.lines: list[bytes] = []  # of an object that has not ended
+        self.lines_size = 0
         self.depth = 0  # of its braces and brackets
         self.ended = 0  # objects, rubbish and empty lines so far
 
     def feed(self, data: bytes) -> list[bytes]:
-        *lines, self.rest = (self.rest + data).split(b"\n")
+        """The objects that end in this piece. What has not ended is joined once, when it does."""
+        *lines, rest = data.split(b"\n")
+        if lines:
+            lines[0] = b"".join((*self.rest, lines[0]))
+            self.rest, self.rest_size = [], 0
+        if rest:
+            self.rest.append(rest)
+            self.rest_size += len(rest)
         return [message for line in lines for message in self.add(line)]
 
     @property
     def size(self) -> int:
-        return len(self.rest) + sum(map(len, self.lines))
+        return self.rest_size + self.lines_size
+
+    def cut(self) -> bytes:
+        message, self.lines, self.lines_size, self.depth = b"\n".join(self.lines), [], 0, 0
+        return message
 
     def add(self, line: bytes) -> list[bytes]:
         """The objects that end with this line, and rubbish that ends before it."""
@@ -137,18 +150,17 @@
         # Neither a whole list on a line of its own nor the empty line between two is inside another object.
         is_list = depth == 0 and line.startswith(b"{") and b'"endpoints"' in line
         if self.lines and (is_list or not line.strip()):
-            cut, self.lines, self.depth = b"\n".join(self.lines), [], 0
-            return [cut, *self.add(line)]
+            return [self.cut(), *self.add(line)]
         if not line.strip():
             self.ended += 1
             return []
         self.lines.append(line)
+        self.lines_size += len(line)
         self.depth += depth
         if self.depth > 0:
             return []
         self.ended += 1
-        message, self.lines, self.depth = b"\n".join(self.lines), [], 0
-        return [message]
+        return [self.cut()]
 
 
 class Call(asyncio.Protocol):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -223,6 +223,28 @@
     run(test())
 
 
+class Piece(bytes):
+    """Counts the bytes that are put together anew as it is added to others."""
+
+    added = 0
+
+    def __radd__(self, before: bytes) -> bytes:
+        Piece.added += len(before) + len(self)
+        return bytes(before) + bytes(self)
+
+
+@pytest.mark.parametrize("indent", [None, 1])
+def test_a_long_list_in_small_pieces_is_not_put_together_anew_with_each(indent: int | None) -> None:
+    text = json.dumps(json.loads(news(*(entry(f"h{n}", "127.0.0.1:9") for n in range(200)))), indent=indent)
+    data, messages, Piece.added = text.encode() + b"\n\n" + text.encode()[:50], discovery.Messages(), 0
+    found = []
+    for start in range(0, len(data), 100):
+        found += messages.feed(Piece(data[start : start + 100]))
+    assert found == [text.encode()] and Piece.added <= len(data)
+    newlines = text[:50].count("\n")
+    assert messages.size == 50 - newlines and messages.ended == 2
+
+
 def test_an_indented_list_is_one_message() -> None:
     """Each of its lines was skipped as rubbish, and nothing of the list was learnt."""
 
