--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -121,7 +121,7 @@
         arguments = ["lab.module", *map(str, size), str(seed)]
         bound = memory_mb or half_of_memory_mb()
         result = module.middle([bounded(arguments, bound) for _ in range(repeat)])
-        results.append(dict(zip(("servers", "routes", "tenants"), size, strict=True)) | result)
+        results.append(result | dict(zip(("servers", "routes", "tenants"), size, strict=True)))
         print(f"{'x'.join(map(str, size))}: {result.get('failed', 'done')}", file=sys.stderr, flush=True)
     print(table(module.COLUMNS, map(module.row, results)))
     if out is not None:
