--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -18,13 +18,14 @@
 from operator import attrgetter
 
 from rosedeal.evidence import (
-    MINIMUM, RING, TRIALS, WEIGHT_UNIT, Breaker, Breakers, Demand, Evidence, Latencies, Quotas,
-    Ranking, State,
+    KINDS, MINIMUM, RING, TRIALS, WEIGHT_UNIT, Breaker, Breakers, Classes, ClassState, Demand, Evidence,
+    Quotas, Ranking, State,
 )
+from rosedeal.generations import first_generation
 from rosedeal.interface import (
-    MAY_STILL_RUN, NEVER_RAN, Action, AttemptEnded, Cancel, Effect, Event, Fail, ListedServer, ListKind, Log,
-    Outcome, Refuse, RequestArrived, RequestGone, Scope, Send, ServerList, ServerStatus, SetTimer, Settings,
-    StreamStarted, TimerFired, WatchList,
+    MAY_STILL_RUN, NEVER_RAN, Action, AttemptEnded, Cancel, Effect, Event, Fail, Generation, ListedServer,
+    ListKind, Log, Outcome, Refuse, RequestArrived, RequestGone, Scope, Send, ServerList, ServerStatus,
+    SetTimer, Settings, SettingsChanged, StreamStarted, TimerFired, WatchList,
 )
 
 # The weight controller
@@ -144,7 +145,8 @@
 @dataclass(slots=True, eq=False)
 class Request:
     id: str
-    klass: int
+    klass: ClassState
+    under: Generation  # what it was taken under
     kind: int  # class and tenant in one number
     key: int | None
     deadline_us: int
@@ -191,7 +193,8 @@
     """Decides for one proxy. Feed it events in order; carry out the actions that each returns."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings = settings
+        self.generation = first_generation(settings)
+        self.settings = settings  # of that generation: servers and what arrives go by it
         self.random = random.Random(seed)
         self.now_us = 0
         self.actions: list[Action] = []
@@ -204,18 +207,11 @@
         self.requests: dict[str, Request] = {}
         self.lines: dict[int, Line] = {}  # by key
         self.freed: list[Line] = []  # those whose turn may pass on after this event
-        self.never_ran = NEVER_RAN - ({Outcome.FULL} if settings.full_may_have_run else set())
         self.timers: dict[int, Callable[[], None]] = {}
         self.next_token = 1
         self.retry_tokens = RETRY_BURST
         self.list_calls_failed = 0
-        classes = settings.classes
-        self.tenants = max(1, len(settings.tenants))
-        self.smoothed = Latencies(c.aim_us / 4 for c in classes)  # latency of good answers
-        self.unhindered = [c.aim_us / 4 for c in classes]  # the same where nothing queued
-        self.answers = [0] * len(classes)  # good ones by class
-        self.mean_work = [0.0] * len(classes)  # of hints
-        self.patience = [(c.give_up_us, 0) for c in classes]  # of first tries, and the votes for it
+        self.classes = Classes(self.generation, {})
         self.quotas = Quotas()
         self.demand = Demand()
         self.ranking = Ranking(-1, [])
@@ -245,17 +241,33 @@
             self.on_list(event)
         elif isinstance(event, StreamStarted):
             self.on_stream(event)
+        elif isinstance(event, SettingsChanged):
+            self.on_settings(event.generation)
         while self.freed:
             self.pass_turn(self.freed.pop())
         return self.actions
 
+    # Generations
+
+    def on_settings(self, generation: Generation) -> None:
+        """Take over settings for what arrives from now on; what is here ends under its own.
+
+        State stays with the numbers, so that of a class or tenant whose meaning has changed starts anew.
+        """
+        if generation.number > self.generation.number:
+            self.evidence.purge((self.generation, generation))
+            self.generation, self.settings = generation, generation.settings
+            self.classes = Classes(generation, self.classes.by_number)
+            self.demand.keep(self.classes.by_number)
+            self.ranking = Ranking(-1, [])
+
     # Requests
 
     def on_request(self, event: RequestArrived) -> None:
         if event.request in self.requests:
             self.log(f"request {event.request} came twice; the second is ignored")
             return
-        if not 0 <= event.klass < len(self.settings.classes):
+        if not 0 <= event.klass < len(self.classes):
             self.log(f"request {event.request} is of unknown class {event.klass}")
             self.actions.append(Fail(event.request))
             return
@@ -268,54 +280,56 @@
             self.answer_unserved(request)
 
     def admit(self, event: RequestArrived) -> Request:
-        klass = self.settings.classes[event.klass]
-        used_us = self.used_us(event)
+        klass = self.classes[event.klass]
+        used_us = self.used_us(event, klass)
         first_try = not event.is_retry and used_us == 0
         over = self.is_over(event, first_try)
         size = 1.0
         if event.work_us:
-            mean = self.mean_work[event.klass] or float(event.work_us)
-            self.mean_work[event.klass] = mean + SMOOTHING * (event.work_us - mean)
+            mean = klass.mean_work or float(event.work_us)
+            klass.mean_work = mean + SMOOTHING * (event.work_us - mean)
             size += HINTED * (event.work_us / mean - 1.0)
         if first_try:
             self.retry_tokens = min(self.retry_tokens + RETRY_SHARE, RETRY_BURST)
-            self.demand.ask(event.klass, over)
+            self.demand.ask(klass.number, over)
+        kind = klass.number * KINDS + self.generation.tenants[self.tenant(event)]
         return Request(
-            event.request, event.klass, self.kind(event), event.key, self.now_us + event.patience_us,
-            self.now_us + max(0, klass.aim_us - used_us), size, event.work_us, first_try, over,
+            event.request, klass, self.generation, kind, event.key, self.now_us + event.patience_us,
+            self.now_us + max(0, klass.terms.aim_us - used_us), size, event.work_us, first_try, over,
         )
 
     def is_over(self, event: RequestArrived, first_try: bool) -> bool:
         """Whether a request is beyond this proxy's part of its tenant's quota; first tries use that up."""
-        tenant = self.kind(event) % self.tenants
         if not self.settings.tenants:
             return False
+        tenant = self.tenant(event)
         quota_per_s = self.settings.tenants[tenant].quota_per_s / self.settings.proxies
         if not quota_per_s:
             return False
-        left = self.quotas.left(tenant, self.now_us, quota_per_s)
+        number = self.generation.tenants[tenant]
+        left = self.quotas.left(number, self.now_us, quota_per_s)
         over = left < 1.0
-        self.quotas.keep(tenant, self.now_us, left - (first_try and not over))
+        self.quotas.keep(number, self.now_us, left - (first_try and not over))
         return over
 
-    def kind(self, event: RequestArrived) -> int:
-        """Class and tenant in one number; a tenant that the settings do not name counts as the first."""
-        return event.klass * self.tenants + (event.tenant if 0 <= event.tenant < self.tenants else 0)
+    def tenant(self, event: RequestArrived) -> int:
+        """The place of its tenant; one that the settings do not name counts as the first."""
+        return event.tenant if 0 <= event.tenant < len(self.generation.tenants) else 0
 
-    def used_us(self, event: RequestArrived) -> int:
+    def used_us(self, event: RequestArrived, klass: ClassState) -> int:
         """How much of its time a request's earlier tries have used; a first try has used none.
 
         First tries of a class are all given the same time, found by majority vote; another time marks a
         repeat that is given all that is left. Guards against taking first tries for late repeats: the last
         try is given more than the first, so most requests once found their aim over on arrival.
         """
-        usual, votes = self.patience[event.klass]
+        usual, votes = klass.patience
         same = abs(event.patience_us - usual) <= SAME_PATIENCE * usual
         if not event.is_retry:
             usual, votes = (usual, votes + 1) if same else (usual, votes - 1)
-            self.patience[event.klass] = (usual, votes) if votes >= 0 else (event.patience_us, 1)
+            klass.patience = (usual, votes) if votes >= 0 else (event.patience_us, 1)
             same = same or votes < 0 or self.settings.marks_retry
-        return 0 if same else max(0, self.settings.classes[event.klass].give_up_us - event.patience_us)
+        return 0 if same else max(0, klass.terms.give_up_us - event.patience_us)
 
     def is_shed(self, request: Request) -> bool:
         """Whether to refuse a request before it costs a server anything.
@@ -331,7 +345,7 @@
         if self.ranking.is_stale(self.demand.changes):
             self.rank_work()
         counts = self.demand.beyond if request.over else self.demand.asked
-        amount = counts.get(request.klass, 0.0) * self.unhindered[request.klass]
+        amount = counts.get(request.klass.number, 0.0) * request.klass.unhindered
         below = self.ranking.below(self.worth(request.klass, request.over))
         point = below + amount / self.ranking.whole * self.random.random()
         return point < self.shed
@@ -349,40 +363,41 @@
         left_us = self.end_us(request) - self.now_us
         if left_us <= 0:
             return True
-        known = self.answers[request.klass] >= FEW
-        short = left_us < self.unhindered[request.klass] * request.size
+        known = request.klass.answers >= FEW
+        short = left_us < request.klass.unhindered * request.size
         return known and short and self.random.random() >= HURRIED_TRIALS
 
     def rank_work(self) -> None:
         """Put what has been asked of late in order of worth; with many classes only once in a while."""
-        classes, demand = self.settings.classes, self.demand
+        demand, classes = self.demand, self.classes.by_number
         total = sum(demand.asked.values()) or 1.0
-        self.mean_worth = sum(classes[i].worth * n for i, n in sorted(demand.asked.items())) / total or 1.0
+        worth = sum(classes[i].terms.worth * n for i, n in sorted(demand.asked.items()))
+        self.mean_worth = worth / total or 1.0
         served = [demand.served.get(i, 0.0) / n for i, n in demand.asked.items()]
         if len(served) < len(classes):
             served.append(1.0)  # of those that nobody asked for nothing is left undone
         self.worst_served = min(served)
         graded = [
-            (self.worth(i, over), n * self.unhindered[i])
+            (self.worth(classes[i], over), n * classes[i].unhindered)
             for over, counts in ((False, demand.asked), (True, demand.beyond)) for i, n in counts.items()
         ]
         self.ranking = Ranking(demand.changes, graded)
 
-    def worth(self, index: int, over: bool) -> float:
+    def worth(self, klass: ClassState, over: bool) -> float:
         """What the goal gains from each unit of server time for a class, within or beyond the share."""
         goal, demand = self.settings.goal, self.demand
-        unit = 1.0 if self.settings.worth_by_work else self.unhindered[index]
-        gain = (goal.whole + goal.worst_window) * self.settings.classes[index].worth / self.mean_worth / unit
+        unit = 1.0 if self.settings.worth_by_work else klass.unhindered
+        gain = (goal.whole + goal.worst_window) * klass.terms.worth / self.mean_worth / unit
         if over:
             return gain * self.settings.over_share_worth
-        asked = demand.asked.get(index, 0.0)
-        if asked and demand.served.get(index, 0.0) / asked <= self.worst_served:
+        asked = demand.asked.get(klass.number, 0.0)
+        if asked and demand.served.get(klass.number, 0.0) / asked <= self.worst_served:
             gain += goal.worst_class * (demand.within or 1.0) / asked / unit
         return gain
 
     def adjust_limit(self, request: Request, event: AttemptEnded) -> None:
         """Feedback like the weights': down after an answer that waited too long, up after a prompt one."""
-        classes = self.settings.classes
+        klass = request.klass
         if event.outcome in (Outcome.OK, Outcome.FULL) and dict(event.load).get("queue", 0.0) >= 1.0:
             # Work waits there: a crowd, not a limit on one class or tenant. Full refusals come at once, so
             # that what is out stays low, and the latency of answers tells only once the jam is seconds old.
@@ -393,11 +408,11 @@
         # A time-out tells no more than that the answer would have come later. What a client in a hurry gives
         # is all the time there is: many that time out, ask again and time out are a jam too.
         given_us = request.deadline_us - request.attempts[event.attempt].sent_us
-        slack = min(given_us, classes[request.klass].aim_us) - self.unhindered[request.klass]
-        waited = event.latency_us - self.unhindered[request.klass] * request.size
+        slack = min(given_us, klass.terms.aim_us) - klass.unhindered
+        waited = event.latency_us - klass.unhindered * request.size
         # No less than what makes a reply slow: work that varies by itself must not pass for a queue.
-        tolerated = slack * (TOLERATED + (1.0 - TOLERATED) * classes[request.klass].late_worth)
-        tolerated = max(tolerated, (SLOW - 1.0) * self.unhindered[request.klass] * request.size)
+        tolerated = slack * (TOLERATED + (1.0 - TOLERATED) * klass.terms.late_worth)
+        tolerated = max(tolerated, (SLOW - 1.0) * klass.unhindered * request.size)
         long = waited > tolerated
         if event.outcome is Outcome.OK or long:
             self.step_limit(long)
@@ -426,13 +441,13 @@
         return min(SHED_MOST, max(0.0, self.told, self.out / self.limit - 1.0))
 
     def expected_us(self, request: Request) -> float:
-        return self.smoothed[request.klass] * request.size
+        return request.klass.smoothed * request.size
 
     def answer_unserved(self, request: Request) -> None:
         """The final answer when no attempt is out and none is to come."""
         if request.done:
             return
-        klass = self.settings.classes[request.klass]
+        klass = request.klass.terms
         ran = any(a.may_have_run for a in request.attempts)
         dropped_anywhere = klass.effect is Effect.KEYED and klass.scope is Scope.ALL
         if not ran or klass.effect is Effect.SAFE or dropped_anywhere:
@@ -447,8 +462,8 @@
         That is when what is out beyond the limit may have been answered.
         """
         answers = max(self.out - self.limit, self.told / SHED_STEP)
-        shed_us = answers * self.smoothed.largest / max(1, self.out)
-        most_us = self.settings.max_retry_after_us
+        shed_us = answers * self.classes.longest.smoothed / max(1, self.out)
+        most_us = request.under.settings.max_retry_after_us
         return max(0, min(max(self.cooldown_left_us(request.kind), int(shed_us)), most_us))
 
     def cooldown_left_us(self, kind: int) -> int:
@@ -477,7 +492,7 @@
 
     def call_off(self, request: Request, spared: int | None = None) -> None:
         """Cancel what is still out, but for one attempt that is wanted."""
-        for number, attempt in enumerate(request.attempts if self.settings.may_cancel else ()):
+        for number, attempt in enumerate(request.attempts if request.under.settings.may_cancel else ()):
             if not attempt.ended and number != spared:
                 self.actions.append(Cancel(request.id, number))
 
@@ -487,7 +502,7 @@
             for attempt in request.attempts[-1:]:
                 # Its client had the patience for an unhindered answer and left all the same: as good as a
                 # time-out. Many impatient clients would otherwise hide a jam that they make.
-                least_us = self.unhindered[request.klass] * request.size
+                least_us = request.klass.unhindered * request.size
                 if not attempt.ended and self.now_us - attempt.sent_us > least_us:
                     self.step_limit(True)
             self.finish(request)
@@ -508,13 +523,13 @@
         before it is out, after a rest where that may still be running. What can't run in time any more is
         turned away, while its client can still try again.
         """
-        if request.key is None or not self.settings.classes[request.klass].in_order:
+        if request.key is None or not request.klass.terms.in_order:
             return False
         line = request.line = self.lines.setdefault(request.key, Line(request.key))
         line.queue.append(request)
         if line.queue[0] is request and self.now_us >= line.rest_until_us:
             return False
-        least_us = int(self.unhindered[request.klass] * request.size)
+        least_us = int(request.klass.unhindered * request.size)
         ready_us = max(self.now_us + (len(line.queue) - 1) * least_us, line.rest_until_us)
         if ready_us + least_us > self.end_us(request):
             self.answer_unserved(request)
@@ -551,7 +566,7 @@
         server = self.pick(request)
         if server is None:
             return False
-        klass = self.settings.classes[request.klass]
+        klass = request.klass.terms
         trials_of = tuple(b.take_trial() if b else 0 for b in judges(server, request.kind))
         attempt = Attempt(server, self.now_us, trials_of)
         request.attempts.append(attempt)
@@ -569,7 +584,7 @@
 
     def end_us(self, request: Request) -> int:
         """When an attempt stops being worth waiting for."""
-        if self.settings.classes[request.klass].late_worth > 0.0:
+        if request.klass.terms.late_worth > 0.0:
             return request.deadline_us
         return min(request.deadline_us, self.now_us + int(AIM_SHARE * (request.aim_us - self.now_us)))
 
@@ -580,12 +595,12 @@
             attempt.overdue = True
         if not late or request.streaming or not self.may_repeat():
             return
-        if len(request.attempts) >= self.settings.max_attempts:
+        if len(request.attempts) >= request.under.settings.max_attempts:
             return
-        if self.settings.second_copies:
+        if request.under.settings.second_copies:
             if self.try_send(request):
                 self.retry_tokens -= 1
-        elif self.settings.may_cancel and self.pick(request) is not None:
+        elif request.under.settings.may_cancel and self.pick(request) is not None:
             # One at a time: the next goes out once this one has ended.
             request.moving = True
             self.retry_tokens -= 1
@@ -606,12 +621,13 @@
         if attempt.ended:
             return
         attempt.ended = True
-        attempt.may_have_run = event.outcome not in self.never_ran
+        full_ran = event.outcome is Outcome.FULL and request.under.settings.full_may_have_run
+        attempt.may_have_run = full_ran or event.outcome not in NEVER_RAN
         request.out -= 1
         attempt.server.out.pop(attempt, None)
         self.out -= 1
         if request.line is not None and event.outcome in MAY_STILL_RUN:
-            request.line.rest_until_us = self.now_us + self.settings.key_rest_us
+            request.line.rest_until_us = self.now_us + request.under.settings.key_rest_us
             self.set_timer(request.line.rest_until_us, partial(self.pass_turn, request.line))
         if event.outcome in (Outcome.OK, Outcome.ERROR, Outcome.FULL):
             attempt.server.heard_us = self.now_us
@@ -621,23 +637,23 @@
             if request.out == 0:
                 self.forget(request)
         elif event.finished or event.outcome is Outcome.OK:
-            within = request.first_try and not request.over
+            within = request.first_try and not request.over and request.klass.among is not None
             if event.outcome is Outcome.OK and within and self.now_us <= request.aim_us:
-                self.demand.serve(request.klass)
+                self.demand.serve(request.klass.number)
             self.finish(request)
         elif request.out == 0:
             self.try_again(request)
 
     def try_again(self, request: Request) -> None:
         """After the last attempt out has failed: another one, a place in the queue, or the final answer."""
-        klass = self.settings.classes[request.klass]
+        klass = request.klass.terms
         ran = any(a.may_have_run for a in request.attempts)
-        time_left = self.end_us(request) - self.now_us > self.unhindered[request.klass] * request.size
+        time_left = self.end_us(request) - self.now_us > request.klass.unhindered * request.size
         allowed = not ran or klass.effect is not Effect.UNSAFE
         moving, request.moving = request.moving, False
         if ran and not moving and not self.may_repeat():
             allowed = False
-        if not allowed or not time_left or len(request.attempts) >= self.settings.max_attempts:
+        if not allowed or not time_left or len(request.attempts) >= request.under.settings.max_attempts:
             self.answer_unserved(request)
         elif self.try_send(request):
             self.retry_tokens -= ran and not moving
@@ -663,29 +679,22 @@
     def allowed_servers(self, request: Request) -> list[Server]:
         """Servers that another attempt may go to."""
         tried = [a.server for a in request.attempts]
-        klass = self.settings.classes[request.klass]
+        klass = request.klass.terms
         ran = [a for a in request.attempts if a.may_have_run]
         servers = [s for s in self.subset(request.kind) if s not in tried]
         if not ran or klass.effect is Effect.SAFE:
             return servers
         if klass.effect is Effect.UNSAFE or self.now_us - ran[0].sent_us >= klass.window_us:
             return []
+        servers = []  # maybe beyond the reach: within it may be none of the scope where it may have run
         known = {scope_of(klass.scope, attempt.server) for attempt in ran}
-        return self.repeaters(request.kind, tried, klass.scope, known)
-
-    def repeaters(self, kind: int, tried: list[Server], scope: Scope, known: set[int]) -> list[Server]:
-        """The first in rank of those that drop a keyed request's repeats: in the scope where it may have run.
-
-        They may lie beyond the reach, since there may be none within it.
-        """
-        servers: list[Server] = []
         for place, server in enumerate(self.ranked):
             if len(servers) >= WIDE:
                 break
-            if server in tried or known != {scope_of(scope, server)} or not self.is_eligible(server, kind):
-                continue
-            if place < self.reach or self.cold_share(server) >= 1.0:
-                servers.append(server)
+            if server not in tried and known == {scope_of(klass.scope, server)}:
+                eligible = self.is_eligible(server, request.kind)
+                if eligible and (place < self.reach or self.cold_share(server) >= 1.0):
+                    servers.append(server)
         return servers
 
     # The pick
@@ -695,13 +704,13 @@
         candidates = self.allowed_servers(request) if request.attempts else self.subset(request.kind)
         weights = [(self.draw_weight(server, request), server) for server in candidates]
         weights = [(weight, server) for weight, server in weights if weight > 0.0]
-        if self.settings.classes[request.klass].effect is Effect.UNSAFE:
+        if request.klass.terms.effect is Effect.UNSAFE:
             # Trials risk their request: what could not be repeated goes to closed servers if there are any.
             weights = [w for w in weights if w[1].is_closed] or weights
         if not weights:
             return None
         total = sum(weight for weight, _ in weights)
-        if self.settings.warm_keys and request.key is not None:
+        if request.under.settings.warm_keys and request.key is not None:
             total += self.favour_home(request.key, weights)
         point = self.random.random() * total
         for weight, server in weights:
@@ -770,7 +779,7 @@
         if not server.out:
             return False
         sent_us = next((at_us for at_us in server.out.values() if at_us >= server.heard_us), self.now_us)
-        return self.now_us - sent_us > OVERDUE * self.smoothed.largest
+        return self.now_us - sent_us > OVERDUE * self.classes.longest.smoothed
 
     # Judging servers
 
@@ -802,8 +811,8 @@
                 common = 1.0  # only a ring without a good answer convicts
             changed = breaker.record(self.now_us, failed, trial_of, common)
             if changed is not None:
-                what = f"breaker of class {request.klass}" if place else "breaker"
-                what += f", tenant {request.kind % self.tenants}" if place and self.tenants > 1 else ""
+                what = f"breaker of class {request.klass.number}" if place else "breaker"
+                what += f", tenant {request.kind % KINDS}" if place and len(request.under.tenants) > 1 else ""
                 span = f" for {breaker.cooldown_us / 1e6:g} s" if changed is State.OPEN else ""
                 self.log(f"server {server.entry.server}: {what} {changed.value}{span}")
 
@@ -816,22 +825,22 @@
             mine: list[bool] = []
             others: list[bool] = []
             for kind, failed in server.breakers.recent:
-                alike = divmod(kind, self.tenants)[place] == divmod(request.kind, self.tenants)[place]
+                alike = divmod(kind, KINDS)[place] == divmod(request.kind, KINDS)[place]
                 (mine if alike else others).append(failed)
             if sum(mine) >= TRIALS and len(others) >= MINIMUM and not any(others):
                 return True
         return False
 
     def learn_latency(self, request: Request, latency_us: int) -> None:
-        index, latency = request.klass, latency_us / request.size
-        self.smoothed[index] += SMOOTHING * (latency - self.smoothed[index])
+        klass, latency = request.klass, latency_us / request.size
+        klass.smoothed += SMOOTHING * (latency - klass.smoothed)
         self.demand.changes += 1
-        floor = self.unhindered[index]
+        floor = klass.unhindered
         # It begins above what is likely and follows the first answers faster: a proxy that has just started
         # would otherwise take a jam for the usual. Not at once: one short answer is no measure.
-        self.answers[index] += 1
-        down = max(UNHINDERED_DOWN, 1.0 / (FEW + self.answers[index]))
-        self.unhindered[index] += down * min(0.0, latency - floor) + UNHINDERED_UP * floor
+        klass.answers += 1
+        down = max(UNHINDERED_DOWN, 1.0 / (FEW + klass.answers))
+        klass.unhindered += down * min(0.0, latency - floor) + UNHINDERED_UP * floor
 
     def adjust_weight(self, server: Server, bad: bool) -> None:
         """The controller: a small step up for a good answer, a cut for a failure or a slow one."""
@@ -875,8 +884,8 @@
         """
         if request.work_us:
             return float(request.work_us)
-        fastest_us = self.unhindered[request.klass]
-        return (fastest_us + min(self.smoothed[request.klass], SLOW * fastest_us)) / 2 * request.size
+        fastest_us = request.klass.unhindered
+        return (fastest_us + min(request.klass.smoothed, SLOW * fastest_us)) / 2 * request.size
 
     def cold_share(self, server: Server) -> float:
         """Share of its capacity that a server surely has by now."""
@@ -942,7 +951,8 @@
             server = Server(entry, mean, rank, self.evidence, self.now_us)
             # Hundreds of proxies hear of a cold server at once and each may send one request at the least:
             # each begins with a random part of that spent, so that these firsts do not come together.
-            server.spent_us = self.random.random() * max(self.smoothed.largest, self.fall_budget_us() / 2)
+            longest_us = self.classes.longest.smoothed
+            server.spent_us = self.random.random() * max(longest_us, self.fall_budget_us() / 2)
             self.servers[entry.server] = server
             new.append(server)
         else:
--- a/rosedeal/evidence.py
+++ b/rosedeal/evidence.py
@@ -11,10 +11,12 @@
 
 from bisect import bisect_left
 from collections import OrderedDict, defaultdict
-from collections.abc import Iterable
+from collections.abc import Mapping, Sequence
 from enum import Enum
 from itertools import accumulate
-from typing import Any
+from operator import attrgetter
+
+from rosedeal.interface import Generation, RequestClass
 
 # The breaker
 RING = 10  # outcomes: a second or less of one proxy's traffic to one server
@@ -29,6 +31,7 @@
 MEMORY = 500  # first tries after which the shares of asked and served work count half
 FORGOTTEN = 1 / 64  # first tries: less than that, halved six times since, is nothing
 EXACT = 8  # parts of the work up to which their order is worked out anew for each request while load is shed
+KINDS = 2**32  # a kind of request is its class's number times this, and its tenant's
 QUOTA_SPAN_S = 1.0  # of a tenant's quota that may come at once and still be within its share
 
 
@@ -42,18 +45,8 @@
     """Ring of the last outcomes of one server, of all requests or of one kind, and what follows from it."""
 
     __slots__ = (
-        "cooldown_us",
-        "episode",
-        "evidence",
-        "failures",
-        "heard_us",
-        "open_until_us",
-        "owner",
-        "place",
-        "ring",
-        "state",
-        "trial_results",
-        "trials_out",
+        "cooldown_us", "episode", "evidence", "failures", "heard_us", "open_until_us", "owner", "place",
+        "ring", "state", "trial_results", "trials_out"
     )
 
     def __init__(self, owner: Breakers | None = None, place: int = 0) -> None:
@@ -79,7 +72,8 @@
             self.evidence.remove(self)
             self.state = State.HALF_OPEN
             self.evidence.insert(self)
-            self.episode = self.evidence.next_episode()
+            self.evidence.episodes += 1  # of its own: a dropped one's trials are none of its successor's
+            self.episode = self.evidence.episodes
             self.trials_out = 0
             self.trial_results = ()
         return self.trials_out + len(self.trial_results) < TRIALS
@@ -178,14 +172,15 @@
         self.opened = 0  # breakers that are open
         self.weights = 0  # sum of the controllers' weights, in units of 1 / WEIGHT_UNIT
         self.closed: OrderedDict[Breaker, None] = OrderedDict()  # by their last outcome, the oldest first
+        self.barred: dict[Breaker, None] = {}  # those not closed
 
     def insert(self, breaker: Breaker) -> None:
-        if breaker.state is State.CLOSED:
-            self.closed[breaker] = None
+        (self.closed if breaker.state is State.CLOSED else self.barred)[breaker] = None
         self.count(breaker, 1)
 
     def remove(self, breaker: Breaker) -> None:
         self.closed.pop(breaker, None)
+        self.barred.pop(breaker, None)
         self.count(breaker, -1)
 
     def count(self, breaker: Breaker, sign: int) -> None:
@@ -199,22 +194,29 @@
             if not total[0]:
                 del self.totals[breaker.place]
 
-    def next_episode(self) -> int:
-        """A number that no earlier spell had: a dropped breaker's trials are none of its successor's."""
-        self.episodes += 1
-        return self.episodes
-
     def lapse(self, now_us: int) -> None:
         """Drop the closed breakers whose rings prove nothing any more; those not closed are never dropped."""
         while self.closed:
             breaker = next(iter(self.closed))
             if now_us - breaker.heard_us <= LAPSE_US:
                 return
-            self.remove(breaker)
-            if breaker.owner is not None:
-                del breaker.owner[breaker.place]
-                if breaker.place == 0:
-                    breaker.owner.recent.clear()
+            self.drop(breaker)
+
+    def drop(self, breaker: Breaker) -> None:
+        self.remove(breaker)
+        if breaker.owner is not None:
+            del breaker.owner[breaker.place]
+            if breaker.place == 0:
+                breaker.owner.recent.clear()
+
+    def purge(self, generations: Sequence[Generation]) -> None:
+        """Drop what is not closed of kinds that none of these has; what is closed lapses by itself."""
+        classes = {number for generation in generations for number in generation.classes}
+        tenants = {number for generation in generations for number in generation.tenants}
+        for breaker in list(self.barred):
+            klass, tenant = divmod(breaker.place - 1, KINDS)
+            if breaker.place and not (klass in classes and tenant in tenants):
+                self.drop(breaker)
 
     def failure_share(self, place: int, but: Breaker | None) -> float:
         """Share of failures in all closed rings of a place but one, from 0 to 1; 0 where there are none."""
@@ -224,24 +226,49 @@
         return failures / entries if entries else 0.0
 
 
-class Latencies(list[float]):
-    """Latencies by class, in microseconds; the largest is known without a walk."""
+class ClassState:
+    """What answers have shown of one class of requests since it last changed its meaning."""
 
-    def __init__(self, values: Iterable[float]) -> None:
-        super().__init__(values)
-        self.longest = max(range(len(self)), key=self.__getitem__)
+    __slots__ = ("_smoothed", "among", "answers", "mean_work", "number", "patience", "terms", "unhindered")
 
-    def __setitem__(self, index: Any, value: Any) -> None:
-        longest = self.largest
-        super().__setitem__(index, value)
-        if isinstance(index, slice) or (index == self.longest and value < longest):
-            self.longest = self.index(max(self))
-        elif value > longest:
-            self.longest = index
+    def __init__(self, number: int, terms: RequestClass) -> None:
+        self.number, self.terms = number, terms
+        self.among: Classes | None = None  # those of the generation in force; None once it is none of them
+        self._smoothed = terms.aim_us / 4
+        self.unhindered = terms.aim_us / 4  # latency in microseconds where nothing queued
+        self.answers = 0  # good ones
+        self.mean_work = 0.0  # of hints, in microseconds
+        self.patience = (terms.give_up_us, 0)  # of first tries, and the votes for it
 
     @property
-    def largest(self) -> float:
-        return self[self.longest]
+    def smoothed(self) -> float:
+        """Latency of good answers, in microseconds."""
+        return self._smoothed
+
+    @smoothed.setter
+    def smoothed(self, value: float) -> None:
+        before, self._smoothed = self._smoothed, value
+        if self.among is None:
+            return
+        if value > self.among.longest.smoothed:
+            self.among.longest = self
+        elif self is self.among.longest and value < before:
+            self.among.longest = max(self.among, key=attrgetter("_smoothed"))
+
+
+class Classes(list[ClassState]):
+    """The classes of a generation, by place; the one with the longest latency is known without a walk."""
+
+    def __init__(self, generation: Generation, before: Mapping[int, ClassState]) -> None:
+        """`before`: the classes so far by number, whose state stays where the number does."""
+        numbered = zip(generation.classes, generation.settings.classes, strict=True)
+        super().__init__(before.get(number) or ClassState(number, terms) for number, terms in numbered)
+        self.by_number = {state.number: state for state in self}
+        for state in before.values():
+            state.among = None
+        for state in self:
+            state.among = self
+        self.longest = max(self, key=attrgetter("_smoothed"))
 
 
 class Demand:
@@ -268,13 +295,23 @@
                 if self.asked.get(index, 0.0) + self.beyond.get(index, 0.0) < FORGOTTEN:
                     for counts in (self.asked, self.beyond, self.served):
                         counts.pop(index, None)
-            self.within = sum(self.asked.values())
-            self.total = self.within + sum(self.beyond.values())
+            self.add_up()
 
     def serve(self, klass: int) -> None:
         self.served[klass] += 1
         self.changes += 1
 
+    def keep(self, classes: Mapping[int, ClassState]) -> None:
+        """Forget the classes that are no more."""
+        for counts in (self.asked, self.beyond, self.served):
+            for klass in counts.keys() - classes.keys():
+                del counts[klass]
+        self.add_up()
+
+    def add_up(self) -> None:
+        self.within = sum(self.asked.values())
+        self.total = self.within + sum(self.beyond.values())
+
 
 class Ranking:
     """Shares of the work asked for, in order of what the goal gains from each unit of it."""
@@ -286,15 +323,12 @@
         self.parts = len(graded)
         self.worths = [worth for worth, _ in graded]
         self.amounts = list(accumulate((amount for _, amount in graded), initial=0.0))
+        self.whole = self.amounts[-1] or 1.0
 
     def is_stale(self, changes: int) -> bool:
         """With many parts as many changes may pass: putting them in order costs each request the same."""
         return changes - self.at > max(0, self.parts - EXACT)
 
-    @property
-    def whole(self) -> float:
-        return self.amounts[-1] or 1.0
-
     def below(self, worth: float) -> float:
         """Share of the work that is worth less, from 0 to 1."""
         return self.amounts[bisect_left(self.worths, worth)] / self.whole
--- a/rosedeal/interface.py
+++ b/rosedeal/interface.py
@@ -93,6 +93,7 @@
     in_order: bool = False  # requests with one key run one at a time, in order of arrival
     streamed: bool = False  # the answer is a stream (no decision needs it: the stream's start tells)
     aim_stretch: float = 0.0  # the aim is later by this multiple of the request's own work (not used yet)
+    name: str = ""
 
     def __post_init__(self) -> None:
         least = dict.fromkeys(("aim_us", "give_up_us"), 1) | dict.fromkeys(("worth", "window_us"), 0)
@@ -105,6 +106,7 @@
 
     quota_per_s: float = 0.0  # requests a second over all proxies within its share
     share: float = 0.0  # of the service (not used yet)
+    name: str = ""
 
     def __post_init__(self) -> None:
         _check(self, least={"quota_per_s": 0}, shares=("share",))
@@ -235,9 +237,30 @@
             raise ValueError("proxy is not below proxies")
 
 
+@dataclass(slots=True, frozen=True)
+class Generation:
+    """Settings that came together, and numbers for their classes and tenants that outlive their places.
+
+    `rosedeal.generations` makes the first and each next one.
+    """
+
+    number: int
+    settings: Settings
+    classes: tuple[int, ...]  # numbers, in the order of the settings
+    tenants: tuple[int, ...]  # the same; one where the settings name none
+    unused: int  # the first number that no generation has used
+
+
 # Events
 
 
+@dataclass(slots=True, frozen=True)
+class SettingsChanged:
+    """What arrives from now on is taken under this generation; what has been taken ends under its own."""
+
+    generation: Generation
+
+
 @dataclass(slots=True, frozen=True)
 class ListedServer:
     server: int
@@ -315,7 +338,8 @@
 
 
 Event = (
-    ServerList
+    SettingsChanged
+    | ServerList
     | RequestArrived
     | AttemptEnded
     | RequestGone
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,12 +4,14 @@
 
 from dataclasses import replace
 
+from rosedeal.generations import next_generation
 from rosedeal.interface import (
     Action,
     AttemptEnded,
     Effect,
     Event,
     Fail,
+    Generation,
     ListedServer,
     ListKind,
     Outcome,
@@ -21,6 +23,7 @@
     ServerList,
     SetTimer,
     Settings,
+    SettingsChanged,
 )
 from rosedeal.choice import Balancer
 from rosedeal.evidence import MINIMUM, Breaker, State
@@ -56,6 +59,12 @@
         self.timers += [action for action in actions if isinstance(action, SetTimer)]
         return actions
 
+    def change_settings(self, settings: Settings) -> Generation:
+        """Take over other settings; returns their generation."""
+        generation = succeed(self.balancer.generation, settings)
+        assert not self.handle(SettingsChanged(generation))
+        return generation
+
     def list_servers(self, *entries: ListedServer, kind: ListKind = ListKind.FULL) -> list[Action]:
         return self.handle(ServerList(kind, entries))
 
@@ -80,6 +89,17 @@
         return self.handle(AttemptEnded(request, attempt, server, outcome, latency_us, finished, load))
 
 
+def succeed(before: Generation, settings: Settings) -> Generation:
+    """The next generation, all its pieces at once."""
+    steps = next_generation(before, settings)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            assert isinstance(end.value, Generation)
+            return end.value
+
+
 def sends(actions: list[Action]) -> list[Send]:
     return [action for action in actions if isinstance(action, Send)]
 
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -5,7 +5,7 @@
 from tests.helpers import SETTINGS, Driver, sends, trip
 from rosedeal.interface import ListedServer, ListKind, Outcome, Tenant
 from rosedeal.choice import CEILING, CUT, FLOOR, STEP
-from rosedeal.evidence import COOLDOWN_US, MINIMUM, RING, TRIALS, Breaker, State
+from rosedeal.evidence import KINDS, COOLDOWN_US, MINIMUM, RING, TRIALS, Breaker, State
 
 
 def tripped() -> Breaker:
@@ -121,7 +121,7 @@
     driver = Driver(servers=1)
     server = driver.balancer.servers[0]
     name, _ = driver.arrive()
-    driver.end(name, 0, latency_us=int(driver.balancer.smoothed[0] * 2.2))
+    driver.end(name, 0, latency_us=int(driver.balancer.classes[0].smoothed * 2.2))
     assert server.weight == CEILING * CUT
 
 
@@ -170,7 +170,8 @@
         server = sends(actions)[0].server
         failed = server == 0 and n % 3 == 2
         driver.end(name, server, Outcome.ERROR if failed else Outcome.OK)
-    states = [driver.balancer.servers[0].breakers[place].state for place in range(4)]
+    places = (0, *(klass * KINDS + 1 for klass in range(3)))
+    states = [driver.balancer.servers[0].breakers[place].state for place in places]
     assert states == [State.CLOSED, State.CLOSED, State.CLOSED, State.OPEN]
     to_0 = dict.fromkeys(range(3), 0)
     for n in range(60):
--- /dev/null
+++ b/tests/test_generations.py
@@ -0,0 +1,159 @@
+"""Settings that change under way: state stays with what stays the same, by name and not by place."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from tests.helpers import KEYED, SAFE, SETTINGS, UNSAFE, Driver, finals, sends, succeed, timers, trip
+from rosedeal.evidence import KINDS, State
+from rosedeal.generations import first_generation, next_generation
+from rosedeal.interface import Fail, Outcome, Refuse, Settings, SettingsChanged, Tenant, TimerFired
+
+NAMED = tuple(replace(c, name=n) for c, n in ((SAFE, "read"), (KEYED, "order"), (UNSAFE, "pay")))
+TENANTS = tuple(Tenant(quota_per_s=9.0, name=name) for name in ("acme", "umbrella", "wayne"))
+BEFORE = replace(SETTINGS, classes=NAMED, tenants=TENANTS)
+
+
+def test_numbers_stay_with_names_whose_meaning_stays() -> None:
+    first = first_generation(BEFORE)
+    dearer = replace(NAMED[1], worth=9.0)
+    after = succeed(first, replace(BEFORE, classes=(NAMED[2], dearer, NAMED[0]), tenants=TENANTS[1:]))
+    assert first.classes == (0, 1, 2) and after.classes == (2, 3, 0)
+    assert first.tenants == (0, 1, 2) and after.tenants == (1, 2)
+    back = succeed(after, BEFORE)  # what was gone or changed has begun anew
+    assert back.classes == (0, 4, 2) and back.tenants == (5, 1, 2)
+    assert (first.number, after.number, back.number) == (1, 2, 3)
+
+
+def test_nothing_without_a_name_and_no_only_tenant_is_taken_for_another() -> None:
+    unnamed = succeed(first_generation(SETTINGS), replace(SETTINGS, classes=SETTINGS.classes[:1] * 2))
+    assert unnamed.classes == (3, 4) and unnamed.tenants == (0,)
+    assert succeed(unnamed, replace(BEFORE, tenants=TENANTS[:1])).tenants != (0,)
+    assert succeed(first_generation(BEFORE), replace(BEFORE, tenants=())).tenants == (3,)
+
+
+def test_a_comparison_comes_in_pieces() -> None:
+    """A change of one tenant among 23,000 must not stop the loop."""
+    many = tuple(Tenant(name=f"t{n}") for n in range(5_000))
+    changed = (*many[:4_999], Tenant(quota_per_s=1.0, name="t4999"))
+    steps = next_generation(first_generation(replace(BEFORE, tenants=many)), replace(BEFORE, tenants=changed))
+    assert len(list(steps)) >= 2 * 5_000 // 500
+
+
+def test_state_follows_a_class_to_its_new_place() -> None:
+    driver = Driver(BEFORE, servers=2)
+    for _ in range(30):
+        name, actions = driver.arrive(klass=2, patience_us=1_000_000, tenant=1)
+        driver.end(name, sends(actions)[0].server, latency_us=44_000)
+    trip(driver.balancer.servers[0].breakers[2 * KINDS + 1 + 1], driver.now_us)
+    pay = driver.balancer.classes[2]
+    known = (pay.smoothed, pay.unhindered, pay.answers, driver.balancer.limit)
+    driver.change_settings(replace(BEFORE, classes=(NAMED[2], NAMED[0]), tenants=TENANTS[1:]))
+    pay = driver.balancer.classes[0]
+    assert (pay.smoothed, pay.unhindered, pay.answers, driver.balancer.limit) == known
+    assert driver.balancer.demand.asked.keys() == {2}
+    for _ in range(20):  # the same kind, now class 0 of tenant 0: server 0 is still open to it
+        name, actions = driver.arrive(klass=0, patience_us=1_000_000, tenant=0)
+        assert sends(actions)[0].server == 1
+        driver.end(name, 1)
+
+
+def test_what_has_changed_its_meaning_starts_anew() -> None:
+    driver = Driver(BEFORE, servers=2)
+    place = 2 * KINDS + 1
+    for server in driver.balancer.servers.values():
+        trip(server.breakers[place], driver.now_us)
+    assert finals(driver.arrive(klass=2, patience_us=1_000_000)[1])
+    driver.balancer.classes[2].smoothed = 900_000.0
+    driver.change_settings(replace(BEFORE, classes=(*NAMED[:2], replace(NAMED[2], aim_us=200_000))))
+    assert driver.balancer.classes[2].smoothed == 50_000.0 == driver.balancer.classes.longest.smoothed
+    assert sends(driver.arrive(klass=2, patience_us=1_000_000)[1])
+
+
+def test_a_kind_that_is_gone_leaves_no_open_breaker_behind() -> None:
+    """None is ever evicted while it may be asked for: with each change some would stay for good."""
+    driver = Driver(BEFORE, servers=2)
+    trip(driver.balancer.servers[0].breakers[1], driver.now_us)
+    trip(driver.balancer.servers[0].breakers[2], driver.now_us)
+    trip(driver.balancer.servers[0].breakers[0], driver.now_us)
+    for _ in range(2):  # what is out under the last generation may still look at it
+        assert driver.balancer.servers[0].breakers.keys() == {0, 1, 2}
+        driver.change_settings(replace(BEFORE, tenants=TENANTS[1:]))
+    assert driver.balancer.servers[0].breakers.keys() == {0, 2}
+    assert {b.state for b in driver.balancer.servers[0].breakers.values()} == {State.OPEN}
+
+
+@pytest.mark.parametrize("gone", [False, True])
+def test_a_request_ends_under_the_settings_that_it_was_taken_under(gone: bool) -> None:
+    """A class that must never run twice becomes one that may be repeated, or goes, with a request out."""
+    driver = Driver(replace(BEFORE, max_attempts=4), servers=3)
+    request, actions = driver.arrive(klass=2, patience_us=1_000_000, tenant=2)
+    classes = NAMED[:2] if gone else (*NAMED[:2], replace(SAFE, name="pay"))
+    driver.change_settings(Settings(classes, tenants=TENANTS[:1]))
+    actions = driver.end(request, sends(actions)[0].server, Outcome.RESET)
+    assert finals(actions) == [Fail(request)] and not sends(actions)
+    if not gone:
+        later, actions = driver.arrive(klass=2)
+        actions = driver.end(later, sends(actions)[0].server, Outcome.RESET)
+        assert sends(actions)
+
+
+def test_a_quota_survives_a_change_of_another_tenant_and_no_change_of_its_own() -> None:
+    driver = Driver(replace(BEFORE, over_share_worth=0.1), servers=2)
+    driver.balancer.limit = 100.0  # nothing is shed
+    for _ in range(9):
+        driver.arrive(tenant=1)
+    driver.change_settings(replace(BEFORE, tenants=(replace(TENANTS[0], quota_per_s=5.0), *TENANTS[1:])))
+    used = driver.balancer.requests[driver.arrive(tenant=1)[0]]
+    assert used.over
+    driver.change_settings(replace(BEFORE, tenants=(TENANTS[0], replace(TENANTS[1], quota_per_s=8.0))))
+    assert not driver.balancer.requests[driver.arrive(tenant=1)[0]].over
+
+
+def test_an_older_generation_is_never_taken_over() -> None:
+    driver = Driver(BEFORE)
+    first = driver.balancer.generation
+    newer = driver.change_settings(replace(BEFORE, max_attempts=2))
+    driver.handle(SettingsChanged(first))
+    assert driver.balancer.generation is newer and driver.balancer.settings.max_attempts == 2
+
+
+@pytest.mark.parametrize(("taken", "later", "sent"), [(1, 4, 0), (4, 1, 1)])
+def test_the_attempts_of_a_request_are_those_it_was_taken_with(taken: int, later: int, sent: int) -> None:
+    driver = Driver(replace(BEFORE, max_attempts=taken), servers=3)
+    request, actions = driver.arrive()
+    driver.change_settings(replace(BEFORE, max_attempts=later))
+    actions = driver.end(request, sends(actions)[0].server, Outcome.CONNECT_FAILED)
+    assert len(sends(actions)) == sent and len(finals(actions)) == 1 - sent
+
+
+@pytest.mark.parametrize("copies", [False, True])
+def test_second_copies_are_for_requests_taken_while_they_were_allowed(copies: bool) -> None:
+    driver = Driver(replace(BEFORE, second_copies=copies, may_cancel=False), servers=3)
+    driver.balancer.classes[0].smoothed = 10_000.0
+    _, actions = driver.arrive()
+    (timer,) = timers(actions)
+    driver.change_settings(replace(BEFORE, second_copies=not copies, may_cancel=False))
+    driver.now_us = timer.due_us
+    assert len(sends(driver.handle(TimerFired(timer.token)))) == copies
+
+
+@pytest.mark.parametrize("proof", [False, True])
+def test_what_proves_that_nothing_ran_is_what_it_was_on_arrival(proof: bool) -> None:
+    driver = Driver(replace(BEFORE, full_may_have_run=not proof), servers=1)
+    request, actions = driver.arrive(klass=2, patience_us=1_000_000)
+    driver.change_settings(replace(BEFORE, full_may_have_run=proof))
+    (final,) = finals(driver.end(request, sends(actions)[0].server, Outcome.FULL))
+    assert isinstance(final, Refuse if proof else Fail)
+
+
+def test_the_order_of_worth_is_made_anew_under_new_settings() -> None:
+    driver = Driver(BEFORE)
+    driver.balancer.rank_work()
+    driver.arrive()
+    driver.balancer.rank_work()
+    assert driver.balancer.ranking.parts
+    driver.change_settings(replace(BEFORE, classes=NAMED[1:]))
+    assert not driver.balancer.ranking.parts
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -84,7 +84,7 @@
 
 def test_a_second_copy_goes_out_when_the_first_is_overdue_and_the_loser_is_called_off() -> None:
     driver = Driver()
-    driver.balancer.smoothed[0] = 20_000.0
+    driver.balancer.classes[0].smoothed = 20_000.0
     name, actions = driver.arrive()
     first = sends(actions)[0].server
     (timer,) = timers(actions)
@@ -100,7 +100,7 @@
 
 def test_no_second_copy_where_none_is_allowed() -> None:
     driver = Driver(replace(SETTINGS, second_copies=False))
-    driver.balancer.smoothed[0] = 20_000.0
+    driver.balancer.classes[0].smoothed = 20_000.0
     _, actions = driver.arrive()
     (timer,) = timers(actions)
     driver.now_us = timer.due_us
@@ -110,7 +110,7 @@
 def test_an_overdue_attempt_is_called_off_for_another_where_copies_are_not_allowed() -> None:
     """A safe request whose answer had stalled waited for its deadline, with servers idle beside it."""
     driver = Driver(replace(SETTINGS, second_copies=False))
-    driver.balancer.smoothed[0] = 20_000.0
+    driver.balancer.classes[0].smoothed = 20_000.0
     name, actions = driver.arrive()
     first = sends(actions)[0].server
     (timer,) = timers(actions)
@@ -142,14 +142,14 @@
 def test_a_silent_server_gets_nothing_more() -> None:
     driver = Driver(servers=1)
     driver.arrive(klass=2)
-    driver.now_us += int(OVERDUE * max(driver.balancer.smoothed)) + 1
+    driver.now_us += int(OVERDUE * driver.balancer.classes.longest.smoothed) + 1
     assert not sends(driver.arrive(klass=2)[1])
 
 
 def test_a_server_that_answers_later_attempts_is_not_silent() -> None:
     driver = Driver(servers=1)
     driver.arrive(klass=2)
-    driver.now_us += int(OVERDUE * max(driver.balancer.smoothed)) - 10_000
+    driver.now_us += int(OVERDUE * driver.balancer.classes.longest.smoothed) - 10_000
     later, _ = driver.arrive(klass=2)
     driver.now_us += 10_001
     assert not sends(driver.arrive(klass=2)[1])
@@ -399,7 +399,7 @@
         for step in range(1_000):
             name, actions = driver.arrive()
             if sends(actions):
-                work_us[step // 50] += driver.balancer.unhindered[0]
+                work_us[step // 50] += driver.balancer.classes[0].unhindered
                 driver.end(name, 1, latency_us=30_000)
             driver.now_us += 10_000
     for first, second in pairwise(work_us):
@@ -414,8 +414,8 @@
         for jammed in (False, True):
             driver = Driver(replace(COLD, proxies=2), servers=0)
             driver.list_servers(ListedServer(1, started_us=driver.now_us))
-            driver.balancer.unhindered = [10_000.0] * 3
-            driver.balancer.smoothed[:] = [500_000.0 if jammed else 20_000.0] * 3
+            for klass in driver.balancer.classes:
+                klass.unhindered, klass.smoothed = 10_000.0, 500_000.0 if jammed else 20_000.0
             count = 0
             for _ in range(200):
                 name, actions = driver.arrive(**({"work_us": hint} if hint else {}))
@@ -688,7 +688,7 @@
 def test_a_hurried_time_out_lowers_the_limit_but_blames_no_server(given_us: int, sheds: bool) -> None:
     """Clients in a hurry timed out and came again, until the patient ones were late too."""
     driver = Driver(servers=1)
-    driver.balancer.unhindered[0], driver.balancer.smoothed[0] = 20_000.0, 60_000.0
+    driver.balancer.classes[0].unhindered, driver.balancer.classes[0].smoothed = 20_000.0, 60_000.0
     name, _ = driver.arrive(patience_us=given_us)
     driver.now_us += given_us
     driver.end(name, 0, Outcome.TIMEOUT, latency_us=given_us)
@@ -710,21 +710,21 @@
     """Restarted proxies took a jam for the usual: the unhindered latency began high and sank slowly."""
     driver = Driver(servers=1)
     balancer = driver.balancer
-    start_us = balancer.unhindered[0]
+    start_us = balancer.classes[0].unhindered
     for _ in range(6):
         name, _ = driver.arrive()
         driver.end(name, 0, latency_us=10_000)
-    assert balancer.unhindered[0] - 10_000 < 0.5 * (start_us - 10_000)
+    assert balancer.classes[0].unhindered - 10_000 < 0.5 * (start_us - 10_000)
     name, _ = driver.arrive()
-    before_us = balancer.unhindered[0]
+    before_us = balancer.classes[0].unhindered
     driver.end(name, 0, latency_us=1)  # one lucky answer is no measure
-    assert balancer.unhindered[0] > 0.8 * before_us
+    assert balancer.classes[0].unhindered > 0.8 * before_us
 
 
 def test_a_little_over_the_unhindered_latency_is_no_jam_where_aims_are_tight() -> None:
     """A quarter of a small slack lay within the work's own scatter, and a quiet day shed half."""
     driver = Driver(servers=1)
-    driver.balancer.unhindered[0] = 150_000.0  # of an aim of 200 ms
+    driver.balancer.classes[0].unhindered = 150_000.0  # of an aim of 200 ms
     for latency_us, sheds in ((250_000, False), (310_000, True)):
         name, _ = driver.arrive()
         driver.end(name, 0, latency_us=latency_us)
@@ -736,7 +736,7 @@
     for late_worth, sheds in ((0.0, True), (0.5, False)):
         klass = replace(SAFE, late_worth=late_worth)
         driver = Driver(replace(SETTINGS, classes=(klass,)), servers=1)
-        driver.balancer.unhindered[0] = 20_000.0
+        driver.balancer.classes[0].unhindered = 20_000.0
         name, _ = driver.arrive()
         driver.end(name, 0, latency_us=100_000)
         assert (driver.balancer.limit < LIMIT_FIRST) == sheds
@@ -746,7 +746,7 @@
     """Impatient clients hid the jam that they made: what they left taught nothing."""
     for stayed_us, sheds in ((10_000, False), (90_000, True)):
         driver = Driver(servers=1)
-        driver.balancer.unhindered[0] = 40_000.0
+        driver.balancer.classes[0].unhindered = 40_000.0
         name, _ = driver.arrive()
         driver.now_us += stayed_us
         driver.handle(RequestGone(name))
@@ -803,7 +803,7 @@
 def test_what_cannot_have_its_turn_in_time_is_turned_away() -> None:
     driver = Driver(ORDERED)
     driver.arrive(klass=1, key=7)
-    least_us = int(driver.balancer.unhindered[1])
+    least_us = int(driver.balancer.classes[1].unhindered)
     late, actions = driver.arrive(klass=1, key=7, patience_us=2 * least_us - 1)
     assert finals(actions) == [Refuse(late)]
     waiting, actions = driver.arrive(klass=1, key=7, patience_us=2 * least_us + 1_000)
@@ -815,7 +815,7 @@
 def test_many_turned_away_at_once_are_answered_without_recursion() -> None:
     driver = Driver(ORDERED, servers=1)
     first, _ = driver.arrive(klass=1, key=7, patience_us=10**9)
-    driver.balancer.unhindered[1] = 0.0
+    driver.balancer.classes[1].unhindered = 0.0
     waiting = [driver.arrive(klass=1, key=7, patience_us=10**9)[0] for _ in range(2_000)]
     driver.list_servers(ListedServer(0, ServerStatus.DRAINING))
     answers = finals(driver.end(first, 0))
@@ -856,7 +856,7 @@
         name, _ = driver.arrive(work_us=100 if n % 4 else 20_000)
         driver.end(name, 0, latency_us=15_000 if n % 4 else 40_000)
         driver.now_us += 50_000
-    assert 15_000 < driver.balancer.smoothed[0] < 40_000
+    assert 15_000 < driver.balancer.classes[0].smoothed < 40_000
 
 
 def test_clients_in_a_hurry_convict_no_server_and_shed_nothing() -> None:
@@ -931,7 +931,7 @@
     driver = Driver(servers=1)
     driver.balancer.told = 0.95
     for limit_us, advised in ((1_000_000, True), (0, False)):
-        driver.balancer.settings = replace(SETTINGS, max_retry_after_us=limit_us)
+        driver.change_settings(replace(SETTINGS, max_retry_after_us=limit_us))
         refusals = [f for _ in range(20) for f in finals(driver.arrive()[1]) if isinstance(f, Refuse)]
         assert refusals and all((0 < r.retry_after_us <= limit_us) == advised for r in refusals)
 
@@ -948,7 +948,7 @@
 def test_the_scatter_of_what_alone_comes_through_does_not_keep_shedding_up() -> None:
     """Of what was shed at 0.95 only the dearest class came through; four in ten took a little longer."""
     driver = Driver(Settings(classes=(replace(SAFE, late_worth=0.0),)), servers=2)
-    driver.balancer.unhindered[0] = 40_000.0
+    driver.balancer.classes[0].unhindered = 40_000.0
     for _ in range(60):  # all of them long: with nothing else out the next one goes all the same
         name, actions = driver.arrive()
         driver.end(name, sends(actions)[0].server, latency_us=150_000)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,7 +8,7 @@
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
-from tests.helpers import SETTINGS, START_US
+from tests.helpers import SETTINGS, START_US, succeed
 from rosedeal.interface import (
     MAY_STILL_RUN,
     NEVER_RAN,
@@ -31,6 +31,7 @@
     ServerStatus,
     SetTimer,
     Settings,
+    SettingsChanged,
     TimerFired,
 )
 from rosedeal.choice import Balancer
@@ -48,7 +49,8 @@
 
 @dataclass
 class Case:
-    klass: int
+    klass: RequestClass
+    under: Settings  # those that it was taken under
     deadline_us: int
     key: int | None = None
     tries: list[Try] = field(default_factory=list)
@@ -71,7 +73,6 @@
 
     def __init__(self, seed: int, settings: Settings = SETTINGS) -> None:
         self.settings = settings
-        self.never_ran = NEVER_RAN - ({Outcome.FULL} if settings.full_may_have_run else set())
         self.resting: dict[int, int] = {}  # by key: not before this
         self.balancer = Balancer(settings, seed)
         self.now_us = START_US
@@ -98,18 +99,25 @@
         elif isinstance(action, SetTimer):
             self.timers.append((action.due_us, action.token))
         elif isinstance(action, Cancel):
-            assert self.settings.may_cancel
+            assert self.cases[action.request].under.may_cancel
             assert action.attempt < len(self.cases[action.request].tries)
 
+    def never_ran(self, case: Case) -> frozenset[Outcome]:
+        return NEVER_RAN - ({Outcome.FULL} if case.under.full_may_have_run else set())
+
+    def change(self, settings: Settings) -> None:
+        self.settings = settings
+        self.give(SettingsChanged(succeed(self.balancer.generation, settings)))
+
     def check_send(self, action: Send) -> None:
         case = self.cases[action.request]
         assert not case.done, "sent after the final answer"
         assert self.status[action.server] is ServerStatus.READY
-        assert len(case.tries) < self.settings.max_attempts
+        assert len(case.tries) < case.under.max_attempts
         assert self.now_us < self.now_us + action.timeout_us <= case.deadline_us
-        klass = self.settings.classes[case.klass]
-        maybe = [t for t in case.tries if t.outcome not in self.never_ran]
-        if not self.settings.second_copies:
+        klass = case.klass
+        maybe = [t for t in case.tries if t.outcome not in self.never_ran(case)]
+        if not case.under.second_copies:
             assert all(t.outcome is not None for t in case.tries), "two attempts out at once"
         if klass.in_order and case.key is not None:
             self.check_turn(case, case.key)
@@ -124,23 +132,23 @@
         for earlier in self.cases.values():
             if earlier is case:
                 break
-            if self.settings.classes[earlier.klass].in_order and earlier.key == key:
+            if earlier.klass.in_order and earlier.key == key:
                 assert earlier.done, "sent while an earlier request of its key is open"
                 assert all(t.outcome is not None for t in earlier.tries), "sent beside an earlier attempt"
         if not case.tries:
             assert self.now_us >= self.resting.get(key, 0), "sent while the key rests"
 
     def check_refusal(self, case: Case) -> None:
-        klass = self.settings.classes[case.klass]
-        maybe = [t for t in case.tries if t.outcome not in self.never_ran]
+        maybe = [t for t in case.tries if t.outcome not in self.never_ran(case)]
         if maybe:
-            dropped = klass.effect is Effect.KEYED and klass.scope is Scope.ALL
-            assert klass.effect is Effect.SAFE or dropped
+            dropped = case.klass.effect is Effect.KEYED and case.klass.scope is Scope.ALL
+            assert case.klass.effect is Effect.SAFE or dropped
 
     def arrive(self, klass: int, patience_us: int) -> None:
         name = f"r{len(self.cases)}"
         key = (None, 1, 2, 1)[patience_us % 4]
-        self.cases[name] = Case(klass, self.now_us + patience_us, key)
+        terms = self.settings.classes[klass]
+        self.cases[name] = Case(terms, self.settings, self.now_us + patience_us, key)
         self.give(RequestArrived(name, klass, patience_us, key))
 
     def finish(self, pick: int, outcome: Outcome) -> None:
@@ -153,8 +161,8 @@
         attempt = case.tries[number]
         attempt.outcome = outcome
         case.done = case.done or outcome is Outcome.OK
-        if case.key is not None and self.settings.classes[case.klass].in_order and outcome in MAY_STILL_RUN:
-            self.resting[case.key] = self.now_us + self.settings.key_rest_us
+        if case.key is not None and case.klass.in_order and outcome in MAY_STILL_RUN:
+            self.resting[case.key] = self.now_us + case.under.key_rest_us
         event = AttemptEnded(
             name, number, attempt.server, outcome, self.now_us - attempt.sent_us, finished=case.done
         )
@@ -217,7 +225,37 @@
 )
 @given(st.integers(0, 3), st.lists(STEPS, min_size=10, max_size=150))
 def test_rules_hold_on_any_sequence(variant: int, seed: int, steps: list[tuple[str, int, int]]) -> None:
-    world = World(seed, VARIANTS[variant])
+    play(World(seed, VARIANTS[variant]), steps)
+
+
+GENERATIONS = tuple(
+    replace(variant, classes=variant.classes[turn:] + variant.classes[:turn])
+    for variant in (
+        replace(v, classes=tuple(replace(c, name=f"k{n}") for n, c in enumerate(v.classes))) for v in VARIANTS
+    )
+    for turn in range(3)
+)
+
+
+@settings(
+    max_examples=300,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+    phases=(Phase.explicit, Phase.generate),
+)
+@given(
+    st.integers(0, 3),
+    st.lists(STEPS | st.tuples(st.just("change"), st.integers(0, 14), st.just(0)), min_size=10, max_size=150),
+)
+def test_no_request_is_decided_by_any_generation_but_its_own(
+    seed: int, steps: list[tuple[str, int, int]]
+) -> None:
+    """Classes change their places, what a repeat does, how often and in which order they may be sent."""
+    play(World(seed, GENERATIONS[0]), steps)
+
+
+def play(world: World, steps: list[tuple[str, int, int]]) -> None:
     for what, first, second in steps:
         if what == "arrive":
             world.arrive(first, second)
@@ -227,6 +265,8 @@
             world.give(AttemptEnded(f"r{first}", 9, 0, second, 1))  # type: ignore[arg-type]
         elif what == "leave":
             world.leave(first)
+        elif what == "change":
+            world.change(GENERATIONS[first])
         elif what == "status":
             world.set_status(first, second)  # type: ignore[arg-type]
         else:
@@ -264,7 +304,7 @@
         (unsafe,), start_capacity=0.25, warm_after_us=8_000_000, fall_multiple=multiple, proxies=proxies
     )
     balancer = Balancer(cold, 3)
-    balancer.smoothed[:], balancer.unhindered = [10_000.0], [10_000.0]
+    balancer.classes[0].smoothed = balancer.classes[0].unhindered = 10_000.0
     now_us = START_US
     entries = (ListedServer(1, started_us=now_us), ListedServer(2, weight=0.001))
     balancer.handle(now_us, ServerList(ListKind.FULL, entries))
--- a/tests/test_sparse.py
+++ b/tests/test_sparse.py
@@ -11,7 +11,7 @@
 
 from tests.helpers import SETTINGS, START_US, Driver, sends, trip
 from rosedeal.choice import FLOOR, SHED_MOST, Balancer, Server, judges
-from rosedeal.evidence import EXACT, FORGOTTEN, LAPSE_US, MEMORY, QUOTA_SPAN_S, RING, Ranking, State
+from rosedeal.evidence import EXACT, FORGOTTEN, KINDS, LAPSE_US, MEMORY, QUOTA_SPAN_S, RING, Ranking, State
 from rosedeal.interface import (
     AttemptEnded,
     Cancel,
@@ -43,12 +43,14 @@
         super().__init__(settings, seed)
         self.buckets = [(t.quota_per_s / settings.proxies * QUOTA_SPAN_S, 0) for t in settings.tenants]
         count = len(settings.classes)
+        kinds = [k * KINDS + t for k in range(count) for t in range(max(1, len(settings.tenants)))]
+        self.places = (0, *(kind + 1 for kind in kinds))
         self.asked, self.beyond, self.served = [0.0] * count, [0.0] * count, [0.0] * count
 
     def handle(self, now_us: int, event: Event) -> list[object]:  # type: ignore[override]
         self.evidence.closed.clear()  # nothing is dropped: what has lapsed is emptied where it stands
         for server in self.servers.values():
-            for place in range(len(self.settings.classes) * self.tenants + 1):
+            for place in self.places:
                 breaker = server.breakers[place]
                 if breaker.state is State.CLOSED and max(now_us, self.now_us) - breaker.heard_us > LAPSE_US:
                     self.evidence.remove(breaker)
@@ -85,13 +87,13 @@
         self.ranked = sorted(self.servers.values(), key=lambda server: server.rank)
 
     def is_silent(self, server: Server) -> bool:
-        self.smoothed.longest = self.smoothed.index(max(self.smoothed))
+        self.classes.longest = max(self.classes, key=lambda klass: klass.smoothed)
         return super().is_silent(server)
 
     def is_over(self, event: RequestArrived, first_try: bool) -> bool:
         over = False
         if self.buckets:
-            tenant = self.kind(event) % self.tenants
+            tenant = self.tenant(event)
             quota = self.settings.tenants[tenant].quota_per_s / self.settings.proxies
             left, at_us = self.buckets[tenant]
             left = min(quota * QUOTA_SPAN_S, left + quota * (self.now_us - at_us) / 1e6)
@@ -116,7 +118,7 @@
         self.mean_worth = sum(c.worth * a for c, a in zip(classes, self.asked, strict=True)) / total or 1.0
         self.worst_served = min(s / a if a else 1.0 for s, a in zip(self.served, self.asked, strict=True))
         graded = [
-            (self.worth(index, over), counts[index] * self.unhindered[index])
+            (self.worth(self.classes[index], over), counts[index] * self.classes[index].unhindered)
             for over, counts in ((False, self.asked), (True, self.beyond))
             for index in range(len(classes))
         ]
@@ -136,7 +138,7 @@
         self.out: dict[tuple[str, int], tuple[int, int]] = {}
         self.timers: list[tuple[int, int]] = []
         self.actions: list[object] = []
-        self.servers = self.random.choice((2, 6, 12))
+        self.servers, self.tenants = self.random.choice((2, 6, 12)), max(1, tenants)
         self.give(ServerList(ListKind.DISK, tuple(self.entry(n) for n in range(self.servers))))
 
     def draw_settings(self, classes: int, tenants: int) -> Settings:
@@ -202,7 +204,10 @@
         what = draw.random()
         if what < 0.5:
             self.count += 1
-            klass, tenant = draw.randrange(len(self.settings.classes)), draw.randrange(self.sparse.tenants)
+            klass, tenant = (
+                draw.randrange(len(self.settings.classes)),
+                draw.randrange(max(1, len(self.settings.tenants))),
+            )
             patience_us, about = draw.choice((50_000, 400_000)), draw.choice((None, 1, 2))
             name, again = f"r{self.count}", draw.random() < 0.1
             self.give(RequestArrived(name, klass, patience_us, about, 9_000, again, tenant))
