--- a/rosedeal/gateway/config.py
+++ b/rosedeal/gateway/config.py
@@ -30,6 +30,7 @@
 
 CONFIG_LIMIT = 16 * 1024 * 1024  # bytes; about five times the file of 3,400 routes and 23,000 tenants
 READ_BYTES = 4 * 1024 * 1024  # between two yields
+LEAST_BYTES = 64 * 1024
 HASH_BYTES = 1024 * 1024
 SHOWN = 60  # characters of a value that an error shows
 
@@ -106,13 +107,17 @@
     path = environ.get("ROUTER_CONFIG")
     if not path:
         raise ConfigError("ROUTER_CONFIG is not set")
-    shown, parts = one_line(path), list[bytes]()
+    shown, parts, taken = one_line(path), list[bytes](), 0
     try:
         with open(path, "rb", buffering=0) as file:
-            size = os.fstat(file.fileno()).st_size
-            while size <= CONFIG_LIMIT and (part := file.read(READ_BYTES)):
+            size = os.fstat(file.fileno()).st_size  # 0 for a pipe
+            while size <= CONFIG_LIMIT:
+                part = file.read(min(READ_BYTES, max(size - taken, LEAST_BYTES)))
+                if not part:
+                    break
                 parts.append(part)
-                size = max(size, sum(map(len, parts)))
+                taken += len(part)
+                size = max(size, taken)
                 yield
     except (OSError, ValueError) as error:
         why = error.strerror if isinstance(error, OSError) else str(error)
