Take a replaced configuration over live on SIGHUP, read in steps beside the traffic

Cause: SIGHUP took over discovery's address alone; every change of a class, tenant, quota, limit or worth was a restart.

Change: rosedeal/gateway/reload.py. The file is read in steps with a turn of the loop after each, compared with what is in force, and handed over in one turn: the balancer's SettingsChanged and the tables by which requests are read. Told again meanwhile, it reads again afterwards. The same settings change nothing and say so; a file that cannot be used, or one that would change what only a new process can (name, listener, sockets, zones, shapes, place in the fleet), is one line and leaves everything as it was. Discovery is followed in each case that can be used, as before.

Ruled out: a thread. The decoder holds the interpreter for as long as it runs, so that it would stop the loop too.

--- a/rosedeal/__main__.py
+++ b/rosedeal/__main__.py
@@ -9,10 +9,11 @@
 
 import uvloop
 
-from rosedeal.gateway.config import Config, ConfigError, load_config, load_discovery
+from rosedeal.gateway.config import Config, ConfigError, load_config
 from rosedeal.gateway.downstream import Downstream
 from rosedeal.gateway.logs import flush, set_up, tell
 from rosedeal.gateway.proxy import Proxy
+from rosedeal.gateway.reload import Reloader
 
 
 async def serve(config: Config) -> None:
@@ -22,16 +23,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
     proxy = Proxy(config, loop)
-
-    def reload() -> None:
-        """The file has been replaced: discovery may be elsewhere. One that cannot be used changes nothing."""
-        try:
-            proxy.discovery.move(load_discovery(os.environ))
-        except ConfigError as error:
-            tell("config.kept", error=error)
-
-    loop.add_signal_handler(signal.SIGHUP, reload)
     downstream = Downstream(config, proxy, loop)
+    reloader = Reloader(config, proxy, downstream)
+    loop.add_signal_handler(signal.SIGHUP, reloader.tell)
     await proxy.start()
     gc.collect()
     gc.freeze()  # the hosts known stay as long as the process: no collection need look at thousands of them
@@ -41,6 +35,7 @@
     await downstream.drain()
     loop.remove_signal_handler(signal.SIGHUP)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # nor after
+    reloader.close()
     proxy.close()
 
 
--- a/rosedeal/gateway/config.py
+++ b/rosedeal/gateway/config.py
@@ -127,21 +127,6 @@
     return shown, b"".join(parts)  # the very bytes where one reading took them all
 
 
-def load_discovery(environ: Mapping[str, str]) -> Address:
-    """Where discovery is by the file as it stands now: the environment is as old as the process."""
-    shown, data = finish(read_file(environ))
-    try:
-        model = finish(read_whole(data, FileModel, Faults()))
-    except ModelError as error:
-        raise ConfigError(f"{shown}: {error}") from None
-    try:
-        address = read_address(model.discovery, "discovery", Faults())
-    except ModelError as error:
-        raise ConfigError(f"{shown}: {error}") from None
-    assert address is not None
-    return address
-
-
 def load_config(environ: Mapping[str, str]) -> Config:
     """The configuration that a start takes: ROUTER_NAME, ROUTER_LISTEN and ROUTER_DISCOVERY come first."""
     return finish(read_steps(environ))
--- a/rosedeal/gateway/downstream.py
+++ b/rosedeal/gateway/downstream.py
@@ -19,6 +19,7 @@
 from rosedeal.gateway.proxy import RESERVED_SOCKETS, UPSTREAM_SHARE, Asked, Proxy, Request, plain
 from rosedeal.gateway.upstream import Answer
 from rosedeal.interface import Effect
+from rosedeal.settings import STEP, Steps, finish
 
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
@@ -320,13 +321,38 @@
             self.transport.abort()
 
 
+@dataclass(frozen=True, slots=True)
+class Lookup:
+    """Where the settings of one generation have what a request names."""
+
+    config: Config
+    classes: dict[bytes, int]  # places by name
+    tenants: dict[bytes, int]
+
+
+def lookup_steps(config: Config, before: Lookup | None = None) -> Steps[Lookup]:
+    """Made in pieces; a table whose names are the same is taken over."""
+    tables: list[dict[bytes, int]] = []
+    for kind in ("classes", "tenants"):
+        names: tuple[str, ...] = getattr(config.names, kind)
+        if before is not None and names is getattr(before.config.names, kind):
+            tables.append(getattr(before, kind))
+            continue
+        table: dict[bytes, int] = {}
+        for place, name in enumerate(names):
+            table[name.encode()] = place
+            if place % STEP == 0:
+                yield
+        tables.append(table)
+    return Lookup(config, *tables)
+
+
 class Downstream:
     """The listener and its connections."""
 
     def __init__(self, config: Config, proxy: Proxy, loop: asyncio.AbstractEventLoop) -> None:
         self.config, self.proxy, self.loop = config, proxy, loop
-        self.classes = {name.encode(): number for number, name in enumerate(config.names.classes)}
-        self.tenants = {name.encode(): number for number, name in enumerate(config.names.tenants)}
+        self.lookup = finish(lookup_steps(config))
         self.limit = int((config.sockets - RESERVED_SOCKETS) * (1 - UPSTREAM_SHARE))
         self.connections: set[ClientConnection] = set()
         self.draining = False
@@ -415,7 +441,7 @@
                 raise BadRequest(400, f"{name.decode('latin-1')} is given twice")
             headers[name.lower()] = value
         klass = self._class(incoming.target, headers)
-        effect = self.config.settings.classes[klass].effect
+        effect = self.lookup.config.settings.classes[klass].effect
         method = b"GET" if effect is Effect.SAFE else b"POST"
         if incoming.method != method:
             raise BadRequest(405, "the class wants another method", (b"allow", method))
@@ -427,7 +453,8 @@
         timeout_ms = _whole(headers.get(b"request-timeout-ms", b""))
         if timeout_ms is None or not 0 < timeout_ms <= LONGEST_TIMEOUT_MS:
             raise BadRequest(400, "Request-Timeout-Ms is missing or malformed")
-        tenant = self.tenants.get(headers.get(b"tenant", b""), None if self.tenants else 0)
+        tenants = self.lookup.tenants
+        tenant = tenants.get(headers.get(b"tenant", b""), None if tenants else 0)
         if tenant is None:
             raise BadRequest(400, "Tenant is missing or unknown")
         return Asked(
@@ -448,11 +475,12 @@
     def _class(self, target: bytes, headers: dict[bytes, bytes]) -> int:
         first = target.partition(b"?")[0].split(b"/")[1:2]
         name = headers.get(b"request-class", b"")
-        if not first or first[0] not in self.classes or name not in self.classes:
+        classes = self.lookup.classes
+        if not first or first[0] not in classes or name not in classes:
             raise BadRequest(404, "unknown path or class")
         if first[0] != name:
             raise BadRequest(400, "path and Request-Class name different classes")
-        return self.classes[name]
+        return classes[name]
 
 
 def answer_bytes(answer: Answer, last: bool, head_only: bool) -> bytes:
--- a/rosedeal/gateway/logs.py
+++ b/rosedeal/gateway/logs.py
@@ -59,6 +59,7 @@
     "listen": "the address that clients connect to",
     "logger": "the library that speaks",
     "name": "the gateway's, from its configuration",
+    "content": "the beginning of the digest of the settings, hexadecimal",
     "repeated": "how often the event came beyond the lines told: the other fields are the last one's",
     "request": "the request's number, counted from the gateway's start",
     "server": "the server's number, made from its name, the same at every gateway",
@@ -97,6 +98,20 @@
             ("error",),
             is_bare=True,
         ),
+        Registered(
+            "config.taken_over",
+            INFO,
+            "generation {generation} is in force: settings {content}",
+            "SIGHUP came and other settings hold for requests from now on.",
+            ("generation", "content"),
+        ),
+        Registered(
+            "config.same",
+            INFO,
+            "generation {generation} stays in force: settings {content} are the same",
+            "SIGHUP came and the settings are byte for byte those in force.",
+            ("generation", "content"),
+        ),
         Registered(
             "config.kept",
             WARNING,
--- a/rosedeal/gateway/proxy.py
+++ b/rosedeal/gateway/proxy.py
@@ -14,7 +14,7 @@
 from functools import partial
 
 from rosedeal.choice import Balancer
-from rosedeal.gateway.config import Address, Config
+from rosedeal.gateway.config import Address, Config, Names
 from rosedeal.gateway.discovery import Discovery, News
 from rosedeal.gateway.logs import tell
 from rosedeal.gateway.upstream import Answer, Exchange, Upstream
@@ -26,6 +26,7 @@
     Event,
     Fail,
     FetchList,
+    Generation,
     ListKind,
     Log,
     Outcome,
@@ -37,6 +38,7 @@
     RequestArrived,
     RequestGone,
     Send,
+    SettingsChanged,
     SetTimer,
     TellPeers,
     TimerFired,
@@ -89,6 +91,8 @@
 class Request:
     id: str
     asked: Asked
+    under: Generation  # what it was taken under, to its final answer
+    names: Names  # of that generation
     deadline_us: int
     reply: Reply | None  # None once it has had its final answer, or its client has gone
     has_left: Callable[[], bool]  # whether its client's connection has ended, read by the loop or not
@@ -112,7 +116,7 @@
 class Proxy:
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
         settings = config.settings
-        self.config, self.settings, self.loop = config, settings, loop
+        self.config, self.settings, self.names, self.loop = config, settings, config.names, loop
         self.clock = Clock()
         self.balancer = Balancer(settings, config.seed)
         self.upstream = Upstream(
@@ -152,6 +156,19 @@
         if self.peers is not None:
             self.peers.close()
 
+    # Generations
+
+    @property
+    def generation(self) -> Generation:
+        """The one in force."""
+        return self.balancer.generation
+
+    def take_over(self, config: Config, generation: Generation) -> None:
+        """Put a generation in force, for requests from now on; the parties of the network stay."""
+        self.feed(SettingsChanged(generation))
+        self.settings, self.names = config.settings, config.names
+        self.upstream.set_times(self.settings.connect_timeout_us, self.settings.idle_connection_us)
+
     @property
     def ready(self) -> bool:
         return bool(self.upstream.hosts)
@@ -226,12 +243,13 @@
     # What is logged
 
     def named(self, fields: Iterable[tuple[str, object]]) -> dict[str, object]:
-        """The balancer's fields with the names of class and tenant, and the address of the server."""
+        """The balancer's fields, with names of class and tenant for their numbers, and a server's address."""
         told = dict(fields)
-        for name, names in (("klass", self.config.names.classes), ("tenant", self.config.names.tenants)):
-            place = told.get(name)
-            if isinstance(place, int) and 0 <= place < len(names):
-                told[name] = names[place]
+        numbers = (("klass", self.generation.classes, self.names.classes),)
+        for name, known, names in (*numbers, ("tenant", self.generation.tenants, self.names.tenants)):
+            number = told.get(name)
+            if isinstance(number, int) and names and number in known:
+                told[name] = names[known.index(number)]
             elif not names:  # no deployment of tenants
                 told.pop(name, None)
         server = told.get("server")
@@ -245,7 +263,9 @@
         request = self.requests.get(number) if number is not None else None
         told = {"request": number, "server": getattr(about, "server", None)}
         if request is not None:
-            told |= {"klass": request.asked.klass, "tenant": request.asked.tenant}
+            names, asked = request.names, request.asked
+            told |= {"klass": names.classes[asked.klass], "generation": request.under.number}
+            told |= {"tenant": names.tenants[asked.tenant]} if names.tenants else {}
         return self.named((name, value) for name, value in told.items() if value is not None)
 
     def tell_unsaid(self) -> None:
@@ -264,7 +284,8 @@
             return None
         self.taken += 1
         patience_us = max(0, asked.timeout_us - asked.waited_us - TRANSIT_US)
-        request = Request(str(self.taken), asked, self.clock.now_us() + patience_us, reply, has_left)
+        deadline_us = self.clock.now_us() + patience_us
+        request = Request(str(self.taken), asked, self.generation, self.names, deadline_us, reply, has_left)
         self.requests[request.id] = request
         self.open += 1
         delay_s = (patience_us + LAST_RESORT_US) / 1e6
@@ -344,7 +365,8 @@
             return
         number, sent_us = len(request.attempts), self.clock.now_us()
         left_us = min(action.timeout_us, request.deadline_us - sent_us)
-        if not self.is_wanted(request) or left_us <= 0 or number >= self.settings.max_attempts:
+        used_up = number >= request.under.settings.max_attempts
+        if not self.is_wanted(request) or left_us <= 0 or used_up:
             request.attempts.append(None)
             self.events.append(
                 AttemptEnded(request.id, number, action.server, Outcome.MOOT, 0, request.reply is None)
--- /dev/null
+++ b/rosedeal/gateway/reload.py
@@ -0,0 +1,105 @@
+"""A replaced configuration, taken over under way: read beside the traffic, put in force at once."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Callable, Generator, Mapping
+from typing import TypeVar
+
+from rosedeal.gateway.config import Config, ConfigError, read_steps
+from rosedeal.gateway.downstream import Downstream, lookup_steps
+from rosedeal.gateway.logs import tell
+from rosedeal.gateway.proxy import Proxy
+from rosedeal.generations import next_generation
+
+T = TypeVar("T")
+
+# What a process cannot change under way: its place in the network and in the fleet, what it has divided among
+# its connections, and by which places and calls the list of hosts is read.
+FIXED: dict[str, Callable[[Config], object]] = {
+    "name": lambda config: config.name,
+    "listen": lambda config: config.listen,
+    "limits.sockets": lambda config: config.sockets,
+    "peer_listen": lambda config: config.peer_listen,
+    "settings.index": lambda config: config.settings.proxy,
+    "settings.zone": lambda config: config.settings.zone,
+    "settings.zones": lambda config: config.names.zones,
+    "settings.shapes": lambda config: config.names.kinds,
+    "settings.membershipMode": lambda config: config.settings.list_is_pushed,
+    "settings.stage": lambda config: (config.settings.tier, config.settings.tiers),
+}
+
+
+class Reloader:
+    """Reads the file when it is told to, once at a time, and hands over what has changed.
+
+    Between two steps the loop does other work. Told again while it reads, it reads again afterwards, so that
+    what stands in the file last is what is in force last.
+    """
+
+    def __init__(
+        self,
+        config: Config,
+        proxy: Proxy,
+        downstream: Downstream,
+        environ: Mapping[str, str] = os.environ,
+    ) -> None:
+        self.config, self.proxy, self.downstream, self.environ = config, proxy, downstream, environ
+        self.told = False  # since the reading under way began
+        self.reading: asyncio.Task[None] | None = None
+
+    def tell(self) -> None:
+        """The file has been replaced."""
+        self.told = True
+        if self.reading is None:
+            self.reading = self.proxy.loop.create_task(self.read())
+
+    def close(self) -> None:
+        """What is being read comes too late."""
+        if self.reading is not None:
+            self.reading.cancel()
+
+    async def read(self) -> None:
+        try:
+            while self.told:
+                self.told = False
+                try:
+                    await self.take_over()
+                except ConfigError as error:
+                    tell("config.kept", error=error, generation=self.proxy.generation.number)
+        finally:
+            self.reading = None
+
+    async def take_over(self) -> None:
+        before = self.config
+        config = await in_turns(read_steps(self.environ, before))
+        for path, of in FIXED.items():
+            if of(config) != of(before):
+                raise ConfigError(
+                    f"{path} differs: expected {of(before)}, which only a new process can change"
+                )
+        number = self.proxy.generation.number
+        if config.content == before.content:
+            tell("config.same", generation=number, content=config.content[:12])
+        else:
+            generation = await in_turns(next_generation(self.proxy.generation, config.settings))
+            lookup = await in_turns(lookup_steps(config, self.downstream.lookup))
+            # In one turn of the loop: a request is taken by the names and the settings of one generation.
+            self.proxy.take_over(config, generation)
+            self.downstream.lookup = lookup
+            tell("config.taken_over", generation=generation.number, content=config.content[:12])
+        self.config = config
+        self.proxy.config = config
+        self.proxy.discovery.move(config.discovery)
+
+
+async def in_turns(steps: Generator[None, None, T]) -> T:
+    """Run steps with a turn of the loop after each."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            result: T = end.value
+            return result
+        await asyncio.sleep(0)
--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -273,13 +273,17 @@
     ) -> None:
         self.loop = loop
         self.limit = connections
-        self.connect_timeout_s = connect_timeout_us / 1e6 or CONNECT_UNSTATED_S
-        self.idle_s = (idle_us / 1e6 or IDLE_UNSTATED_S) * IDLE_SHARE
+        self.set_times(connect_timeout_us, idle_us)
         self.rest_s = REST_S
         self.now = loop.time
         self.hosts: dict[HostId, Host] = {}
         self.connections: set[HostConnection] = set()
 
+    def set_times(self, connect_timeout_us: int, idle_us: int) -> None:
+        """How long a connection may take to come up and may stand idle; 0 where it is not stated."""
+        self.connect_timeout_s = connect_timeout_us / 1e6 or CONNECT_UNSTATED_S
+        self.idle_s = (idle_us / 1e6 or IDLE_UNSTATED_S) * IDLE_SHARE
+
     # Hosts
 
     def list_host(self, number: HostId, address: Address, status: ServerStatus) -> None:
