--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -212,8 +212,14 @@
 
     async def main() -> T | None:
         loop, task = asyncio.get_running_loop(), asyncio.ensure_future(play)
+
+        def interrupt() -> None:
+            for number in (signal.SIGINT, signal.SIGTERM):  # once: the tidying up is not interrupted
+                loop.add_signal_handler(number, lambda: None)
+            task.cancel()
+
         for number in (signal.SIGINT, signal.SIGTERM):
-            loop.add_signal_handler(number, task.cancel)
+            loop.add_signal_handler(number, interrupt)
         try:
             return await task
         except asyncio.CancelledError:
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -118,6 +118,9 @@
     ) -> None:
         if self.guard is not None:
             self.guard.cancel()
+        for child in self.running:  # at once, so that nothing comes between
+            with contextlib.suppress(ProcessLookupError):
+                child.process.kill()
         await asyncio.gather(*(child.end(gently=False) for child in self.running))
         for file in self.files:
             file.close()
--- a/lab/report.py
+++ b/lab/report.py
@@ -111,6 +111,7 @@
     if run.hollows:
         gateways = run.plan.hollow
         found["hollow"] = role(run.hollows, gateways, listed["bytes"]["hollow"], listed["messages"]["hollow"])
+        found["hollow"]["resident_mb"] -= run.hollow_base / gateways / 1e6
         found["hollow"]["in_force"] = joined([s["force"]["hollow"] for s in calm(scenarios)]).summary()
         stats = [s["after"].hollow for s in scenarios.values()][-1]
         found["hollow"]["list_read"] = joined([Hist(told["list"]) for told in stats]).summary()
--- a/lab/scale.py
+++ b/lab/scale.py
@@ -96,6 +96,7 @@
     why: list[str] = field(default_factory=list)  # the schedule was not kept
     over: list[str] = field(default_factory=list)  # ended over the bound
     broken: list[str] = field(default_factory=list)  # what must never be, as another request's answer
+    hollow_base: int = 0  # bytes that their processes hold without a gateway, the settings read
     hollows: list[Child] = field(default_factory=list)
     reals: list[Gateway] = field(default_factory=list)
 
@@ -250,7 +251,7 @@
         points: list[dict[str, Any]] = []
         size = 0
         try:
-            base_bytes = sum(
+            self.hollow_base = sum(
                 await self.ask_hollow(
                     "read",
                     [{"seed": plan.seed + n} for n in range(count)],
@@ -260,7 +261,7 @@
             )
             for size in sizes(plan.hollow):
                 self.say(f"{size} hollow gateways")
-                points.append(await self.hollow_point(size, points[-1]["size"] if points else 0, base_bytes))
+                points.append(await self.hollow_point(size, points[-1]["size"] if points else 0))
         except OverBound as error:
             self.over.append(f"{size} hollow gateways: {error}")
             points.append({"size": size, "over_bound": True})
@@ -274,7 +275,7 @@
         asked = (child.ask(do, **order, **own) for child, own in zip(self.hollows, each, strict=True))
         return list(await asyncio.gather(*asked))
 
-    async def hollow_point(self, size: int, present: int, base_bytes: int) -> dict[str, Any]:
+    async def hollow_point(self, size: int, present: int) -> dict[str, Any]:
         plan, count = self.plan, len(self.hollows)
         more = [part(size, count, n) - part(present, count, n) for n in range(count)]
         began = time.monotonic()
@@ -307,7 +308,7 @@
             "registry_cpu_s_per_s": (after.cpu_s["registry"] - before.cpu_s["registry"]) / took,
             "registry_bytes_per_s": told["bytes"],
             "registry_messages_per_s": told["messages"],
-            "hollow_bytes": sum(child.resident() for child in self.hollows) - base_bytes,
+            "hollow_bytes": sum(child.resident() for child in self.hollows) - self.hollow_base,
             "hollow_cpu_s_per_s": cpu / took,
             "in_force": force["hollow"].summary(),
         }
