--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import re
 import signal
 import subprocess
 import sys
@@ -213,6 +214,11 @@
     assert all(len(found) == 1 for found in zones.values()) and len(zones) == 4200 // fleet.RACK
 
 
+def test_rosedeal_never_imports_the_lab() -> None:
+    sources = list((Path(__file__).parent.parent / "rosedeal").rglob("*.py"))
+    assert sources and not [p for p in sources if re.search(r"^\s*(from|import) lab\b", p.read_text(), re.M)]
+
+
 def test_a_line_tells_its_slope_and_how_far_the_figures_lie_off() -> None:
     line = fit.line([1, 2, 3, 4], [5, 7, 9, 11])
     assert line is not None and (line["slope"], line["at_zero"]) == (2, 3) and line["residual"] < 1e-9
