Bring up a deployment to try with one command: python -m lab up

A newcomer had no way to see a gateway answer short of writing a configuration, discovery and servers. `up` starts the stand-in discovery, five stand-in servers and two real gateways from deploy/example.json (names of its own) on free ports of loopback, prints one curl line on standard output, and ends every child on SIGINT or SIGTERM, the gateways by SIGTERM first.

The addresses of the example file are not used: they may be taken, so each gateway is given a free one.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -1,4 +1,4 @@
-"""Commands: `python -m lab module` and `python -m lab scale`."""
+"""Commands: `python -m lab module`, `python -m lab scale` and `python -m lab up`."""
 
 from __future__ import annotations
 
@@ -7,18 +7,21 @@
 import signal
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any, TypeVar
 
 import click
+import msgspec
 import psutil
 import uvloop
 
-from lab import module, report, scale, schedule
+from lab import module, report, scale, schedule, up
 from lab.processes import ChildError
 from lab.tables import table
+from rosedeal.gateway.config import parse_config
 
 DEFAULT_SIZES = ("10x3x2", "200x3x2", "4200x3x2", "10x3400x2", "10x3x2300")
 POLL_S = 0.05
@@ -36,7 +39,7 @@
         except click.Abort:
             sys.exit(130)
         except click.exceptions.NoArgsIsHelpError:
-            print("lab: no command; there are module and scale (--help tells more)", file=sys.stderr)
+            print("lab: no command; there are module, scale and up (--help tells more)", file=sys.stderr)
             sys.exit(2)
         except click.ClickException as error:
             print(f"lab: {error.format_message()}", file=sys.stderr)
@@ -207,6 +210,41 @@
     return 1 if found["over_bound"] or found["broken"] else 0
 
 
+@lab.command("up")
+@click.option(
+    "--config",
+    type=click.Path(path_type=Path, dir_okay=False),
+    default=up.EXAMPLE,
+    help="The gateways' configuration [default: deploy/example.json]",
+)
+def up_command(config: Path) -> int:
+    """Bring up a deployment to try: discovery, five servers, two gateways.
+
+    Prints a curl command that gets a 200 through a gateway. Ctrl-C ends all of it.
+    """
+    try:
+        raw = msgspec.json.decode(config.read_bytes())
+        parse_config(raw)
+    except OSError as error:
+        raise click.BadParameter(f"{config} cannot be read: {error.strerror}") from None
+    except (ValueError, TypeError) as error:
+        raise click.BadParameter(f"{config} cannot be used: {error}") from None
+    with tempfile.TemporaryDirectory(prefix="rosedeal-") as folder:
+
+        def say(line: str) -> None:
+            print(line, flush=True)
+            print("lab: all is up; Ctrl-C ends it", file=sys.stderr, flush=True)
+
+        try:
+            run_interruptible(up.up(raw, Path(folder), say))
+        except (ChildError, TimeoutError) as error:
+            logs = "".join(path.read_text(errors="replace") for path in sorted(Path(folder).glob("*.log")))
+            print(f"{logs}lab: {error or 'a gateway was not ready in time'}", file=sys.stderr)
+            return 1
+    print("lab: ended, and every child with it", file=sys.stderr)
+    return 0
+
+
 def run_interruptible(play: Coroutine[Any, Any, T]) -> T | None:
     """What it returns; None once SIGINT or SIGTERM has ended it, after its own tidying up."""
 
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import http.client
 import json
 import os
 import re
+import shlex
 import signal
 import subprocess
 import sys
@@ -14,6 +16,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
+from urllib.parse import urlsplit
 
 import psutil
 import pytest
@@ -28,7 +31,7 @@
 from rosedeal.gateway.downstream import Downstream
 from rosedeal.gateway.proxy import Proxy
 from rosedeal.interface import ListKind, ServerList, ServerStatus
-from tests.sockets import Client, Gateway, Host, run
+from tests.sockets import PATIENCE_S, Client, Gateway, Host, run
 from tests.sockets import Registry as Scripted
 
 SERVERS = 8
@@ -338,3 +341,23 @@
                 await child.ask("stats")
 
     run(test())
+
+
+def test_the_deployment_to_try_answers_its_curl_and_ends_whole() -> None:
+    with subprocess.Popen(
+        [sys.executable, "-m", "lab", "up"], stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True
+    ) as child:
+        assert child.stdout is not None
+        words = shlex.split(child.stdout.readline())
+        children = psutil.Process(child.pid).children(recursive=True)
+        headers = dict(words[n + 1].split(": ", 1) for n, word in enumerate(words) if word == "-H")
+        url = urlsplit(words[-1])
+        plain = http.client.HTTPConnection(url.netloc, timeout=PATIENCE_S)
+        plain.request("GET", f"{url.path}?{url.query}", headers=headers)
+        answer = plain.getresponse()
+        assert (answer.status, answer.read()) == (200, b"0000000000000001 /view-timetable\n")
+        plain.close()
+        child.send_signal(signal.SIGINT)
+        out, err = child.communicate(timeout=60)
+    assert child.returncode == 0 and words[0] == "curl" and not out, err
+    assert len(children) == 4 and not any(process.is_running() for process in children)
