--- a/rosedeal/__main__.py
+++ b/rosedeal/__main__.py
@@ -6,6 +6,7 @@
 import gc
 import os
 import signal
+import sys
 
 import uvloop
 
@@ -40,6 +41,10 @@
 
 
 def main() -> int:
+    if len(sys.argv) > 1:
+        from rosedeal.cli import command
+
+        return int(command(prog_name="python -m rosedeal") or 0)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # before there is a gateway to tell it to, it ends none
     set_up(os.environ)
     try:
--- a/rosedeal/gateway/config.py
+++ b/rosedeal/gateway/config.py
@@ -42,6 +42,11 @@
         super().__init__(text)
         self.faults = faults or (text,)
 
+    @classmethod
+    def of(cls, file: str, error: ModelError) -> ConfigError:
+        faults = tuple(f"{file}: {fault}" for fault in error.faults)
+        return cls(faults[0], faults)
+
 
 @dataclass(frozen=True, slots=True)
 class Names:
@@ -152,7 +157,7 @@
     try:
         return (yield from read_parts(data, environ, before, Faults(most)))
     except ModelError as error:
-        raise ConfigError(f"{shown}: {error}", error.faults) from None
+        raise ConfigError.of(shown, error) from None
 
 
 def read_parts(
--- a/rosedeal/settings.py
+++ b/rosedeal/settings.py
@@ -261,6 +261,8 @@
     if get_origin(kind) is Literal:
         got = text.partition(", got ")[2] or text.removeprefix("Invalid enum value ")
         text = f"{expected(kind)}, got {got}"
+    elif not isinstance(error, msgspec.ValidationError):  # JSON, as is known: what is wrong is in a text
+        text = "expected text in Unicode"
     elif not text.startswith("Expected"):
         text = f"{expected(kind)}: {text}"
     faults.add(path, plain(text))
@@ -316,19 +318,20 @@
 
 
 def read_whole(data: bytes, kind: Any, faults: Faults) -> Steps[Any]:
-    """A whole JSON text; ModelError where it is none."""
+    """A whole JSON text; None once a fault has been noted, ModelError where it is no JSON."""
     try:
         return msgspec.json.decode(data, type=kind)
-    except msgspec.ValidationError as error:
-        try:
-            msgspec.json.decode(data, type=Raw)  # a text that is no JSON further on is none at all
-        except msgspec.DecodeError as worse:
-            raise ModelError([(yield from no_json(data, worse))]) from None
-        note(data, kind, "", faults, error)
+    except RecursionError:
+        raise ModelError(["not JSON that can be read: nested too deep; expected an object"]) from None
     except msgspec.DecodeError as error:
-        raise ModelError([(yield from no_json(data, error))]) from None
+        fault = error
+    try:
+        msgspec.json.decode(data, type=Raw)
     except RecursionError:
         raise ModelError(["not JSON that can be read: nested too deep; expected an object"]) from None
+    except msgspec.DecodeError as error:  # no JSON, be it further on than the first fault
+        raise ModelError([(yield from no_json(data, error))]) from None
+    note(data, kind, "", faults, fault)
     return None
 
 
