--- a/rosedeal/gateway/upstream.py
+++ b/rosedeal/gateway/upstream.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import select
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -14,8 +13,6 @@
 from rosedeal.gateway.config import Address
 from rosedeal.interface import Outcome, ServerStatus
 
-log = logging.getLogger(__name__)
-
 BODY_LIMIT = 64 * 1024
 HEAD_LIMIT = 16 * 1024
 ANSWER_LIMIT = 4 * (
