--- a/rosedeal/choice.py
+++ b/rosedeal/choice.py
@@ -813,7 +813,8 @@
             if changed is not None:
                 kind = {"klass": request.klass.number, "tenant": request.kind % KINDS} if place else {}
                 span = {"cooldown_s": breaker.cooldown_us / 1e6} if changed is State.OPEN else {}
-                self.log("breaker.changed", server=server.entry.server, state=changed.value, **kind, **span)
+                about = {"server": server.entry.server, "request": event.request, **kind, **span}
+                self.log("breaker.changed", state=changed.value, **about)
 
     def is_own(self, server: Server, request: Request) -> bool:
         """Whether failures tell of one class or tenant alone: of late none of the others' requests failed.
--- a/rosedeal/gateway/logs.py
+++ b/rosedeal/gateway/logs.py
@@ -155,8 +155,8 @@
             "breaker.changed",
             INFO,
             "{line}",
-            "A server's breaker opened, half-opened or closed; with a class, the breaker of that pair alone.",
-            ("line", "server", "address", "state", "cooldown_s", "class", "tenant", "unsaid"),
+            "A request's outcome opened or closed a server's breaker; with a class, that of this pair.",
+            ("line", "server", "address", "state", "cooldown_s", "unsaid", *REQUEST),
             ("server", "class", "tenant"),
         ),
         Registered(
