Let diff say what a running gateway refuses, by the same list that refuses it

diff named zones, listener and limits as in force at once or at the next start; a running gateway keeps the whole old configuration where one of them differs (reload.FIXED). The test's expectations follow, and ask for the refusal too.

--- a/rosedeal/cli.py
+++ b/rosedeal/cli.py
@@ -19,13 +19,15 @@
     read_file,
     read_parts,
 )
+from rosedeal.gateway.reload import FIXED
 from rosedeal.generations import first_generation, next_generation
 from rosedeal.interface import Generation
 from rosedeal.settings import Faults, LaneModel, ModelError, SettingsModel, TenantModel, finish
 
 MOST_FAULTS = 10
 MOST_LINES = 20
-AT_START = ("name", "listen", "seed", "limits", "peer_listen", "peers", "peers_all")
+AT_ONCE = ("discovery", "peers", "peers_all")
+AT_START = ("seed",)
 
 Form = dict[str, Any]
 
@@ -128,9 +130,13 @@
         yield from lines[:most]
         if lines[most:]:
             yield f"  ... and {len(lines) - most} more (--all names them)"
+    fixed = [path for path, of in FIXED.items() if of(old) != of(new)]
     yield from listed("other settings, in force at once", changes(was, will))
-    for what, keys in (("discovery, followed at once", ("discovery",)), ("only at the next start", AT_START)):
+    for what, keys in (("in force at once", AT_ONCE), ("only at the next start", AT_START)):
         yield from listed(what, changes(pick(old_form, keys), pick(new_form, keys)))
+    if fixed:
+        why = "refused by a gateway that runs with OLD, as only a new process can change it"
+        yield f"{why}: {', '.join(fixed)}"
 
 
 def numbers(generation: Generation, key: str) -> dict[str, int]:
@@ -221,7 +227,8 @@
 
     Names the routes (lanes) and tenants that are added (+), removed (-) or changed (~), with the fields that
     differ, and whether what the gateway has learnt about each (its state) is kept or starts anew. Then the
-    other settings, and what counts only at the next start. Ends with 2 if either cannot be used.
+    other settings, what counts only at the next start, and what a running gateway would refuse NEW for. Ends
+    with 2 if either cannot be used.
     """
     read_by: list[tuple[Config, Form]] = []
     for path in (old, new):
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -233,12 +233,17 @@
         "  - harbour-line: its state is dropped",
         "other settings, in force at once:",
         "  ~ caps.maxAttempts 4 -> 3",
-        "discovery, followed at once:",
+        "in force at once:",
         '  ~ discovery "127.0.0.2:8500" -> "127.0.0.3:1"',
+        '  ~ peers [] -> ["127.0.0.1:2"]',
         "only at the next start:",
         '  ~ seed "5eed" -> "1"',
-        '  ~ peers [] -> ["127.0.0.1:2"]',
     ]
+    raw["settings"]["zones"] = [*raw["settings"].get("zones", []), "another"]
+    path.write_text(json.dumps(raw | {"limits": {"sockets": 200}}))
+    refused = "refused by a gateway that runs with OLD, as only a new process can change it: "
+    last = call("diff", EXAMPLE, path).stdout.splitlines()[-1]
+    assert last == refused + "limits.sockets, settings.zones"
     path.write_text("{")
     assert call("diff", EXAMPLE, path).exit_code == 2
 
