Measure what a change of one tenant costs gateways under way: python -m lab reload

Cause: that a change of the settings stops no loop and is soon in force was claimed for full size, and nothing measured it.

Change: lab reload plays, in one run, requests without changes, the same with changes, changes alone, many one after the other and hollow gateways under the same changes. A change is a tenant that comes or goes: requests of its name tell from outside when it is in force. The children, clients, fleet, fits and tables are those of lab scale; what both commands do with a run's end is one function.

Measured: the tiny run of the tests passes; no figure at a size is taken here.

Ruled out: changing an allowance, which no answer shows from outside; renaming in the loop that asks, since some file systems write the file out first (up to 60 ms were seen), which the times would have borne.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -1,4 +1,4 @@
-"""Commands: `python -m lab module`, `python -m lab scale` and `python -m lab up`."""
+"""Commands: `python -m lab module`, `python -m lab scale`, `python -m lab reload` and `python -m lab up`."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -18,7 +18,7 @@
 import psutil
 import uvloop
 
-from lab import module, report, scale, schedule, up
+from lab import module, reload, report, scale, schedule, up
 from lab.processes import ChildError
 from lab.tables import table
 from rosedeal.gateway.config import parse_config
@@ -39,7 +39,9 @@
         except click.Abort:
             sys.exit(130)
         except click.exceptions.NoArgsIsHelpError:
-            print("lab: no command; there are module, scale and up (--help tells more)", file=sys.stderr)
+            print(
+                "lab: no command; there are module, scale, reload and up (--help tells more)", file=sys.stderr
+            )
             sys.exit(2)
         except click.ClickException as error:
             print(f"lab: {error.format_message()}", file=sys.stderr)
@@ -182,10 +184,24 @@
 )
 def scale_command(out: Path, memory_mb: int | None, scenarios: tuple[str, ...], **sizes: Any) -> int:
     """The whole at a size: result.json in the directory, and one table."""
+    bound = checked_bound(memory_mb)
+    plan = scale.Plan(scenarios=tuple(dict.fromkeys(scenarios)), memory_mb=bound, **sizes)
+    return played(out, lambda say: scale.play(plan, out, say), report.report)
+
+
+def checked_bound(memory_mb: int | None) -> int:
     most = half_of_memory_mb()
     if memory_mb is not None and memory_mb > most:
         raise click.BadParameter(f"--memory-mb is above half of the machine's memory, {most}")
-    plan = scale.Plan(scenarios=tuple(dict.fromkeys(scenarios)), memory_mb=memory_mb or most, **sizes)
+    return memory_mb or most
+
+
+def played(
+    out: Path,
+    play: Callable[[scale.Say], Coroutine[Any, Any, dict[str, Any]]],
+    tell: Callable[[dict[str, Any]], str],
+) -> int:
+    """A run with its result in the directory, its table printed and its progress on standard error."""
     try:
         out.mkdir(parents=True, exist_ok=True)
     except OSError as error:
@@ -196,7 +212,7 @@
         print(f"[{time.monotonic() - began:6.1f} s] {text}", file=sys.stderr, flush=True)
 
     try:
-        found = run_interruptible(scale.play(plan, out, say))
+        found = run_interruptible(play(say))
     except ChildError as error:
         print(f"lab: {error}; see {out / 'logs'}", file=sys.stderr)
         return 1
@@ -204,12 +220,60 @@
         print("lab: interrupted; every child has ended", file=sys.stderr)
         return 130
     (out / "result.json").write_text(json.dumps(found, indent=1) + "\n", encoding="utf-8")
-    print(report.report(found))
+    print(tell(found))
     if not found["schedule"]["kept"]:
         return 3
     return 1 if found["over_bound"] or found["broken"] else 0
 
 
+@lab.command("reload")
+@click.option("--servers", type=click.IntRange(4, 4200), default=200, show_default=True)
+@click.option("--routes", type=click.IntRange(1, 10_000), default=100, show_default=True)
+@click.option("--tenants", type=click.IntRange(1, 100_000), default=500, show_default=True)
+@click.option("--real", type=click.IntRange(1, 64), default=2, show_default=True, help="Real gateways.")
+@click.option("--hollow", type=click.IntRange(1, 1000), default=8, show_default=True, help="Hollow gateways.")
+@click.option(
+    "--rate",
+    type=click.FloatRange(0, 5000, min_open=True),
+    default=200.0,
+    show_default=True,
+    help="Requests a second to each real gateway; as many go straight.",
+)
+@click.option(
+    "--seconds",
+    type=click.FloatRange(0.5, 600),
+    default=12.0,
+    show_default=True,
+    help="Of requests without changes, and as long with them.",
+)
+@click.option(
+    "--every-s",
+    type=click.FloatRange(0.1, 600),
+    default=2.0,
+    show_default=True,
+    help="Between two changes while requests go on; 22.7 is ten times the daily rate. At least 3 are made.",
+)
+@click.option(
+    "--changes",
+    type=click.IntRange(1, 100_000),
+    default=40,
+    show_default=True,
+    help="Afterwards, one after the other.",
+)
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option(
+    "--memory-mb", type=click.IntRange(100), help="Bound on all together [default: half of the machine]"
+)
+@click.option("--late-ms", type=click.FloatRange(1), default=25.0, show_default=True, help="Bound at p99.")
+@click.option(
+    "--out", type=click.Path(path_type=Path, file_okay=False), required=True, help="Directory for the result."
+)
+def reload_command(out: Path, memory_mb: int | None, **sizes: Any) -> int:
+    """Changes of one tenant under way: result.json in the directory, and one table."""
+    plan = reload.Plan(memory_mb=checked_bound(memory_mb), **sizes)
+    return played(out, lambda say: reload.play(plan, out, say), reload.report)
+
+
 @lab.command("up")
 @click.option(
     "--config",
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -23,6 +23,7 @@
 
 from lab import fit, fleet, schedule
 from lab.__main__ import lab
+from lab.changes import Document, changes
 from lab.clients import ask_bytes
 from lab.processes import Children, OverBound
 from lab.registry import Registry
@@ -241,6 +242,10 @@
         ("scale", "--out", "x", "--scenario", "flood"),
         ("scale", "--out", "/proc/none/x"),
         ("scale", "--out", "x", "--memory-mb", "99999999"),
+        ("reload",),
+        ("reload", "--out", "x", "--every-s", "0"),
+        ("reload", "--out", "x", "--memory-mb", "99999999"),
+        ("reload", "--out", "/proc/none/x"),
         ("module", "--size", "1x2"),
         ("module", "--out", "/none/x"),
     ],
@@ -275,6 +280,47 @@
     assert ended.value.code == 1 and "over the bound" in capsys.readouterr().out
 
 
+def test_equal_seeds_give_equal_changes_each_of_one_tenant(tmp_path: Path) -> None:
+    one, same, other = (changes(seed, tenants=5, count=20) for seed in (1, 1, 2))
+    assert one == same and one != other and one[:7] == changes(1, tenants=5, count=7)
+    settings = fleet.settings(routes=2, tenants=5)
+    document, path = Document({"name": "n0", "settings": settings}), tmp_path / "config.json"
+    for before, change in zip([None, *one[:7]], one[:8], strict=True):
+        document.apply(change)
+        assert document.write(path) == path.stat().st_size
+        found = json.loads(path.read_text())
+        new = {tenant["name"] for tenant in found["settings"].pop("tenants")}
+        new -= {tenant["name"] for tenant in settings["tenants"]}
+        assert new == ({fleet.tenant(change.number)} if change.added else set())
+        assert before is None or before.added != change.added
+        assert found["settings"] == {k: v for k, v in settings.items() if k != "tenants"}
+
+
+def test_a_tiny_reload_run_says_how_soon_changes_are_in_force(tmp_path: Path) -> None:
+    tiny = (
+        "--servers=8",
+        "--routes=4",
+        "--tenants=4",
+        "--real=1",
+        "--hollow=2",
+        "--rate=50",
+        "--seconds=0.5",
+    )
+    more = ("--every-s=0.2", "--changes=6", "--late-ms=1000", "--out", str(tmp_path))
+    ended = subprocess.run(
+        [sys.executable, "-m", "lab", "reload", *tiny, *more], capture_output=True, text=True, timeout=110
+    )
+    assert ended.returncode == 0, ended.stderr + ended.stdout
+    found: dict[str, Any] = json.loads((tmp_path / "result.json").read_text())
+    figures = found["figures"]
+    assert not found["broken"] and not found["over_bound"] and "pause_over_5_ms" in figures
+    assert figures["changes"]["in_force"]["from_signal"]["count"] == figures["changes"]["count"] == 3
+    assert figures["many"]["in_force"]["from_signal"]["count"] == 6
+    assert 0 < figures["many"]["in_force"]["from_signal"]["p50_ms"] < 30_000
+    assert figures["many"]["memory"]["real-0"]["line"]["sizes"][-1] == 6
+    assert figures["hollow"]["steps"]["handle(SettingsChanged)"]["count"] == 2 * 6
+
+
 TINY = (
     "--servers=8",
     "--routes=4",
