--- /dev/null
+++ b/lab/model/engine.py
@@ -0,0 +1,30 @@
+"""Virtual time: a heap of things to do, in whole microseconds; equal times go in the order of asking."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from heapq import heappop, heappush
+from typing import Any
+
+START_US = 100_000_000  # the clock's reading as a day begins
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now_us = START_US
+        self.events = 0
+        self._heap: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._sequence = 0
+
+    def at(self, due_us: int, call: Callable[..., None], *arguments: Any) -> None:
+        """Call at a time; one that has passed is now."""
+        self._sequence += 1
+        heappush(self._heap, (max(due_us, self.now_us), self._sequence, call, arguments))
+
+    def run(self, until_us: int) -> None:
+        """Carry out all that is due by a time, and leave the clock there."""
+        while self._heap and self._heap[0][0] <= until_us:
+            self.now_us, _, call, arguments = heappop(self._heap)
+            self.events += 1
+            call(*arguments)
+        self.now_us = until_us
