--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -1,4 +1,4 @@
-"""Commands: `python -m lab module`, `python -m lab scale`, `python -m lab reload` and `python -m lab up`."""
+"""Commands: `python -m lab module`, `scale`, `reload`, `up`, `run` and `compare`."""
 
 from __future__ import annotations
 
@@ -19,6 +19,7 @@
 import uvloop
 
 from lab import module, reload, report, scale, schedule, up
+from lab.model.commands import compare_command, run_command
 from lab.processes import ChildError
 from lab.tables import table
 from rosedeal.gateway.config import parse_config
@@ -40,7 +41,8 @@
             sys.exit(130)
         except click.exceptions.NoArgsIsHelpError:
             print(
-                "lab: no command; there are module, scale, reload and up (--help tells more)", file=sys.stderr
+                "lab: no command; there are module, scale, reload, up, run and compare (--help tells more)",
+                file=sys.stderr,
             )
             sys.exit(2)
         except click.ClickException as error:
@@ -51,7 +53,7 @@
 
 @click.group(cls=OneLine)
 def lab() -> None:
-    """Measure rosedeal at a size, all on loopback."""
+    """Measure rosedeal at a size, all on loopback, and play it in a model of the fleet."""
 
 
 def half_of_memory_mb() -> int:
@@ -331,5 +333,9 @@
         return runner.run(main())
 
 
+lab.add_command(run_command)
+lab.add_command(compare_command)
+
+
 if __name__ == "__main__":
     lab()
--- /dev/null
+++ b/lab/model/commands.py
@@ -0,0 +1,117 @@
+"""Commands: `python -m lab run` and `python -m lab compare`."""
+
+from __future__ import annotations
+
+import sys
+import time
+from concurrent.futures import BrokenExecutor
+from pathlib import Path
+
+import click
+from rich.console import Console
+from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
+
+from lab.model import experiment, scenario
+from lab.model.policies import POLICIES
+from lab.tables import table
+
+
+@click.command("run")
+@click.argument("scenario_name", metavar="SCENARIO")
+@click.option(
+    "--policy", "names", multiple=True, type=click.Choice(list(POLICIES)), help="[default: the file's]"
+)
+@click.option("--seeds", type=click.IntRange(1, 100_000), help="From 1 to this [default: the file's, 5]")
+@click.option("--jobs", type=click.IntRange(1, 256), default=4, show_default=True, help="Worker processes.")
+@click.option("--knob", "knobs", multiple=True, help="A constant for these runs, as choice.RING=20.")
+@click.option(
+    "--out",
+    type=click.Path(path_type=Path, file_okay=False),
+    required=True,
+    help="Directory for the results.",
+)
+def run_command(
+    scenario_name: str,
+    names: tuple[str, ...],
+    seeds: int | None,
+    jobs: int,
+    knobs: tuple[str, ...],
+    out: Path,
+) -> int:
+    """Play a scenario of the fleet model: a file, or the name of one in lab/scenarios.
+
+    Results are kept as JSON lines; a run that was cut off goes on from them. The figures are the model's own.
+    """
+    try:
+        day = scenario.load(scenario.find(scenario_name))
+        plan = experiment.Plan(
+            day,
+            tuple(dict.fromkeys(names or check_policies(day, scenario_name))),
+            seeds or day.seeds,
+            tuple(experiment.parse_knob(text) for text in knobs),
+        )
+        out.mkdir(parents=True, exist_ok=True)
+        began, events, new = time.monotonic(), 0, 0
+        bar = Progress(
+            TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeRemainingColumn(),
+            console=Console(stderr=True),
+        )  # fmt: skip
+
+        def done(result: experiment.Result | None) -> None:
+            nonlocal events, new
+            if result is not None:
+                events, new = events + result.get("events", 0), new + 1
+            bar.advance(bar.task_ids[0])
+
+        with bar:
+            bar.add_task(day.name, total=len(list(plan.tasks())))
+            results = experiment.run(plan, out, jobs, done)
+    except (scenario.ScenarioError, experiment.UsageError) as error:
+        raise click.UsageError(str(error)) from None
+    except OSError as error:
+        raise click.UsageError(f"{out} cannot be written: {error.strerror}") from None
+    except BrokenExecutor:
+        print("lab: a worker process was ended; the same command goes on from here", file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        print("lab: interrupted; the same command goes on from here", file=sys.stderr)
+        return 130
+    results.sort(key=lambda r: (plan.policies.index(r["policy"]), r["seed"]))
+    took_s = time.monotonic() - began
+    print(f"{new} days played in {took_s:.1f} s, {events / took_s:,.0f} events a second", file=sys.stderr)
+    print(experiment.summary(results))
+    for line in experiment.broken_rules(results):
+        print(line)
+    first, *others = plan.policies
+    rows = []
+    for other in others:
+        pair = [experiment.of_policy(results, policy) for policy in (first, other)]
+        rows += experiment.compare(pair[0], pair[1], other)[:1]
+    if rows:
+        print(f"\nAgainst {first}:")
+        print(table(experiment.COMPARE_COLUMNS, rows))
+    return 1 if any("crash" in result for result in results) else 0
+
+
+def check_policies(day: scenario.Scenario, name: str) -> tuple[str, ...]:
+    """Those that a file names; ScenarioError for one that is not there."""
+    for place, policy in enumerate(day.policies):
+        if policy not in POLICIES:
+            known = ", ".join(POLICIES)
+            raise scenario.ScenarioError(f"{Path(name).name}: policies[{place}]: expected one of {known}")
+    return day.policies
+
+
+@click.command("compare")
+@click.argument("first", type=click.Path(path_type=Path, exists=True, file_okay=False))
+@click.argument("second", type=click.Path(path_type=Path, exists=True, file_okay=False))
+def compare_command(first: Path, second: Path) -> int:
+    """The second directory of results against the first: paired by seed, with a bootstrap 95 % interval.
+
+    There is a verdict only where the interval excludes nought.
+    """
+    try:
+        print(experiment.compare_folders(first, second))
+    except (experiment.UsageError, OSError) as error:
+        raise click.UsageError(str(error)) from None
+    return 0
