--- a/lab/model/registry.py
+++ b/lab/model/registry.py
@@ -41,9 +41,20 @@
             if gateway.up and gateway.watching:
                 self.tell(gateway)
 
-    def changed_us(self, server: int, entry: ListedServer) -> int:
-        """When discovery knew of this state of a server."""
-        return next((at for at, e in reversed(self.changes) if e.server == server and e == entry), 0)
+    def deemed(self, gateway: Gateway, server: int) -> tuple[int, ListedServer] | None:
+        """When a gateway that neither watches nor asks counts as told of a server's state, and of which.
+
+        It counts as told of what was listed the stated time ago, four times as long after a failed call. What
+        it has really heard goes before.
+        """
+        span_us = us(self.terms.must_ask_s) * (4 if gateway.call_failed else 1)
+        now_us = self.clock.now_us
+        if gateway.watching or now_us - gateway.called_us < span_us:
+            return None
+        for at_us, entry in reversed(self.changes[gateway.index :]):
+            if entry.server == server and at_us <= now_us - span_us:
+                return max(gateway.called_us, at_us) + span_us, entry
+        return None
 
     def hears(self, gateway: Gateway) -> bool:
         return self.up and self.world.network.reaches(gateway.zone, PLACE)
--- a/lab/model/world.py
+++ b/lab/model/world.py
@@ -128,13 +128,6 @@
         self.named |= self.list.keys()
         self.give(event)
 
-    def deemed_us(self, changed_us: int) -> int | None:
-        """When it counts as told of a change, if it neither watches nor asks; None for one that watches."""
-        if self.watching:
-            return None
-        span_us = self.settings.must_ask_within_us * (4 if self.call_failed else 1)
-        return max(self.called_us, changed_us) + span_us
-
 
 class World:
     def __init__(self, scenario: Scenario, make: Make, seed: int) -> None:
@@ -337,17 +330,14 @@
         entry = gateway.list.get(ident)
         if entry is not None and entry.started_us == server.started_us:
             return True
-        listed = self.registry.entries[ident]
-        if listed.started_us != server.started_us:
-            return False
-        told_us = gateway.deemed_us(self.registry.changed_us(ident, listed))
-        return told_us is not None and told_us <= self.clock.now_us
+        deemed = self.registry.deemed(gateway, ident)
+        return deemed is not None and deemed[1].started_us == server.started_us
 
     def check_target(self, gateway: Gateway, ident: int) -> None:
         told_us = gateway.stop_us.get(ident)
-        listed = self.registry.entries[ident]
-        if told_us is None and listed.status is not ServerStatus.READY and not gateway.watching:
-            told_us = gateway.deemed_us(self.registry.changed_us(ident, listed))
+        deemed = self.registry.deemed(gateway, ident) if told_us is None else None
+        if deemed is not None and deemed[1].status is not ServerStatus.READY:
+            told_us = deemed[0]
         self.rules.on_target(gateway.number, self.number_of[ident], told_us)
 
     def send(self, gateway: Gateway, action: Send) -> None:
