--- a/lab/model/commands.py
+++ b/lab/model/commands.py
@@ -50,6 +50,7 @@
             seeds or day.seeds,
             tuple(experiment.parse_knob(text) for text in knobs),
         )
+        experiment.held(plan, out)
         out.mkdir(parents=True, exist_ok=True)
         began, events, new = time.monotonic(), 0, 0
         bar = Progress(
--- a/lab/model/experiment.py
+++ b/lab/model/experiment.py
@@ -164,16 +164,22 @@
     draft.replace(path)
 
 
+def held(plan: Plan, folder: Path) -> list[Result]:
+    """The results that a folder holds; UsageError where they are of other days, knobs or programs."""
+    header, found = read(folder / FILE)
+    other = [key for key, value in plan.header.items() if header is not None and header.get(key) != value]
+    if other:
+        what = " and ".join(other)
+        raise UsageError(f"{folder / FILE} holds runs of another {what}: expected an --out of its own")
+    return found
+
+
 def run(plan: Plan, folder: Path, jobs: int, done: Callable[[Result | None], None]) -> list[Result]:
     """Play what the folder does not hold yet; `done` hears of each result, None for one that was there.
 
     The file is the same for equal seeds whatever `jobs` is, and whatever was there when the run was cut off.
     """
-    path = folder / FILE
-    header, found = read(path)
-    if header is not None and header != plan.header:
-        other = [key for key in plan.header if header.get(key) != plan.header[key]]
-        raise UsageError(f"{path} holds runs of another {' and '.join(other)}: expected an --out of its own")
+    path, found = folder / FILE, held(plan, folder)
     known = {(result["policy"], result["seed"]) for result in found}
     write(path, plan.header, found)
     tasks = [task for task in plan.tasks() if task not in known]
--- a/lab/model/scenario.py
+++ b/lab/model/scenario.py
@@ -74,8 +74,10 @@
     regions: dict[str, Annotated[tuple[str, ...], Meta(min_length=1)]]  # zones of each
     machines: Annotated[tuple[Machines, ...], Meta(min_length=1)]
     rack: Count = 3  # servers of one zone that fail together
+    slots: Count = 24  # for requests in work, those that wait on others with them
     waiting: Count = 60  # room for requests that wait at a server
     connections: Count = 1500
+    table: Share = 0.1  # of its capacity that a full table of connections takes
     handshake_ms: Some = 4.6  # work of a new connection
     probe_ms: Some = 0.12
     keepalive_s: More = 15.0
@@ -94,6 +96,7 @@
     regions_ms: Range = (8.0, 14.0)
     loss: Share = 0.0  # of requests, and of answers: their connection breaks
     connect_timeout_ms: More = 200.0
+    message_ms: Range = (4.8, 38.0)  # between gateways
     front_s: Range = (1.1, 3.9)  # the front layer goes on sending to a dead gateway
 
 
@@ -392,6 +395,7 @@
         over_share_worth=it.traffic.over_share_worth,
         reports=Reports(ReportMode.ANSWERS, ("latency_ms", "eps", "queue")),
         may_probe=True,
+        may_message=True,
         connect_timeout_us=us(it.network.connect_timeout_ms / 1e3),
         idle_connection_us=us(it.fleet.keepalive_s),
         drain_grace_us=500_000,
--- a/lab/model/score.py
+++ b/lab/model/score.py
@@ -58,7 +58,16 @@
     worked_us = sum(server.worked_us for server in world.servers)
     costs = {
         kind: world.costs[kind]
-        for kind in ("tries", "attempts", "repeats", "handshakes", "probes", "crossings", "falls")
+        for kind in (
+            "tries",
+            "attempts",
+            "repeats",
+            "handshakes",
+            "probes",
+            "crossings",
+            "peer_bytes",
+            "falls",
+        )
     }
     connections = float(np.mean(world.open_connections)) if world.open_connections else 0.0
     return {
--- a/lab/model/servers.py
+++ b/lab/model/servers.py
@@ -86,7 +86,15 @@
     @property
     def rate(self) -> float:
         """Work that a core does in a unit of time."""
-        return self.speed * self.share / self.slow / (self.terms.choke.times if self.choked else 1.0)
+        held = 1.0 - self.terms.table * min(1.0, self.connections / self.terms.connections)
+        choked = self.terms.choke.times if self.choked else 1.0
+        return self.speed * self.share * held / self.slow / choked
+
+    @property
+    def is_free(self) -> bool:
+        """Whether a core and a slot are free."""
+        working = len(self.running)
+        return working < self.cores and working + len(self.elsewhere) < self.terms.slots
 
     # Life
 
@@ -120,10 +128,10 @@
         self.press(job)
         if not self.up:
             job.broken()
-        elif self.draining or (len(self.running) >= self.cores and self.waiting >= self.terms.waiting):
+        elif self.draining or (not self.is_free and self.waiting >= self.terms.waiting):
             job.step = Step.OVER
             job.answer(Outcome.FULL, self.load())
-        elif len(self.running) < self.cores:
+        elif self.is_free:
             self.run(job)
         else:
             job.step = Step.WAITING
@@ -153,7 +161,7 @@
         self.next()
 
     def next(self) -> None:
-        while self.queue and len(self.running) < self.cores:
+        while self.queue and self.is_free:
             job = self.queue.popleft()
             if job.step is Step.WAITING:
                 self.waiting -= 1
@@ -174,6 +182,7 @@
         elif gap_s > 2.0:
             self.eps = 0.0
         job.answer(Outcome.ERROR if job.fails else Outcome.OK, self.load())
+        self.next()
 
     def drop(self, job: Job) -> None:
         """Nobody waits for it any more: what waits is dropped, what runs stops where the day has it so."""
--- a/lab/model/world.py
+++ b/lab/model/world.py
@@ -42,6 +42,7 @@
     ListedServer,
     ListKind,
     Outcome,
+    PeerMessage,
     Probe,
     ProbeEnded,
     Refuse,
@@ -53,6 +54,7 @@
     ServerStatus,
     SetTimer,
     Settings,
+    TellPeers,
     TimerFired,
     WatchList,
 )
@@ -73,8 +75,6 @@
         self.settings = settings(world.scenario, number)
         self.seeds = stream(seed, f"gateway {number}")
         self.list = {entry.server: entry for entry in listed}
-        self.named = set(self.list)  # all that a list has named
-        self.stop_us: dict[int, int] = {}  # when it was told that a server drains or is gone
         self.index: int = 0  # of discovery's changes
         self.epoch: int = 0
         self.front_until_us = 0  # the front layer has not noticed its death before this
@@ -83,6 +83,10 @@
     def start(self) -> None:
         self.up: bool = True
         self.policy = self.make(self.settings, int(self.seeds.integers(2**31)))
+        self.named = set(self.list)  # all that a list of this process has named
+        self.stop_us = {  # when it was told that a server drains or is gone
+            n: self.world.clock.now_us for n, e in self.list.items() if e.status is not ServerStatus.READY
+        }
         self.watching: bool = self.settings.list_is_pushed
         self.called_us: int = self.world.clock.now_us
         self.call_failed: bool = False
@@ -115,17 +119,21 @@
 
     def hear(self, event: ServerList) -> None:
         """Take over what discovery says, with the time at which it did."""
-        now_us, before = self.world.clock.now_us, self.list
+        now_us = self.world.clock.now_us
         if event.kind is ListKind.FULL:
-            self.list = {}
-        self.list = {**self.list, **{entry.server: entry for entry in event.servers}}
-        stopped = {n for n, entry in self.list.items() if entry.status is not ServerStatus.READY}
-        stopped |= before.keys() - self.list.keys()
-        self.stop_us = {n: self.stop_us.get(n, now_us) for n in sorted(stopped | self.stop_us.keys())}
-        for server in self.list.keys() - stopped:
-            self.stop_us.pop(server, None)
-        self.list = {n: e for n, e in self.list.items() if e.status is not ServerStatus.GONE}
-        self.named |= self.list.keys()
+            for server in self.list.keys() - {entry.server for entry in event.servers}:
+                del self.list[server]
+                self.stop_us.setdefault(server, now_us)
+        for entry in event.servers:
+            if entry.status is ServerStatus.READY:
+                self.stop_us.pop(entry.server, None)
+            else:
+                self.stop_us.setdefault(entry.server, now_us)
+            if entry.status is ServerStatus.GONE:
+                self.list.pop(entry.server, None)
+            else:
+                self.list[entry.server] = entry
+                self.named.add(entry.server)
         self.give(event)
 
 
@@ -139,6 +147,7 @@
         self.latency_us = [0] * len(self.day.times_us)  # of those served
         self.useful_us = 0.0  # server work that served an answer
         self.open_connections: list[int] = []
+        self.peers = stream(seed, "peers")
         self.make_servers()
         entries = [ListedServer(self.ids[s.number], zone=s.number % len(scenario.zones),
                                 group=self.rack(s.number), kind=s.kind) for s in self.servers]  # fmt: skip
@@ -150,6 +159,8 @@
         self.gateways: list[Gateway] = []
         for number in range(scenario.fleet.gateways):
             self.gateways.append(Gateway(self, number, make, seed, entries))
+        self.near = [[g for g in self.gateways if g.zone == n] for n in range(len(scenario.zones))]
+        self.down = 0  # gateways
         for number, trouble in enumerate(scenario.troubles):
             self.plan(trouble, stream(seed, f"trouble {number}"))
         for asked, at_us in enumerate(self.day.times_us):
@@ -203,8 +214,10 @@
         """A client's try of a number, at the gateway that the front layer sends it to."""
         day, now_us = self.day, self.clock.now_us
         klass = self.scenario.traffic.classes[day.klass[asked]]
-        believed = [g for g in self.gateways if g.up or now_us < g.front_until_us]
-        near = [g for g in believed if g.zone == day.zone[asked]] or believed
+        near = self.near[day.zone[asked]]
+        if self.down:
+            believed = [g for g in self.gateways if g.up or now_us < g.front_until_us]
+            near = [g for g in believed if g.zone == day.zone[asked]] or believed
         patience_us = round(day.patience[asked, number] * klass.give_up_ms * 1e3)
         patience_us = min(patience_us, day.times_us[asked] + us(klass.give_up_ms / 1e3) - now_us)
         gateway = near[int(day.front[asked, number] * len(near))] if near else None
@@ -217,7 +230,7 @@
             return
         gateway.cases[case.id] = case
         slack_us = gateway.settings.answer_slack_us
-        self.clock.at(case.deadline_us + slack_us, self.overdue, gateway, case)
+        self.clock.at(case.deadline_us + slack_us + 1, self.overdue, gateway, case)
         if day.hasty[asked, number] < 1.0:
             leaves_us = now_us + round(day.hasty[asked, number] * patience_us)
             self.clock.at(leaves_us, self.leave, gateway, case)
@@ -295,11 +308,29 @@
                 self.probe(gateway, action.server)
             case CloseIdle():
                 gateway.close_idle(self.number_of[action.server])
+            case TellPeers():
+                self.tell_peers(gateway, action)
 
     def fire(self, gateway: Gateway, epoch: int, token: int) -> None:
         if gateway.epoch == epoch:
             gateway.give(TimerFired(token))
 
+    def tell_peers(self, gateway: Gateway, action: TellPeers) -> None:
+        """Delayed, lost across a cut or as other packets are, and paid for by the byte delivered."""
+        terms = self.scenario.network
+        for peer in self.gateways:
+            if peer is gateway or action.proxy not in (None, peer.number):
+                continue
+            delay_us, lost = us(self.peers.uniform(*terms.message_ms) / 1e3), self.peers.random()
+            if lost >= self.network.loss and self.network.reaches(gateway.zone, peer.zone):
+                event = PeerMessage(gateway.number, action.data)
+                self.clock.at(self.clock.now_us + delay_us, self.told_by_peer, peer, event)
+
+    def told_by_peer(self, peer: Gateway, event: PeerMessage) -> None:
+        if peer.up:
+            self.costs["peer_bytes"] += len(event.data)
+            peer.give(event)
+
     def probe(self, gateway: Gateway, ident: int) -> None:
         self.costs["probes"] += 1
         server = self.servers[self.number_of[ident]]
@@ -555,10 +586,12 @@
 
     def kill(self, gateway: Gateway) -> None:
         if gateway.up:
+            self.down += 1
             gateway.kill()
 
     def revive(self, gateway: Gateway) -> None:
         if not gateway.up:
+            self.down -= 1
             gateway.start()
 
     def cut(self, regions: frozenset[int]) -> None:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -27,11 +27,13 @@
     Event,
     ListKind,
     Outcome,
+    PeerMessage,
     Refuse,
     RequestArrived,
     Send,
     ServerList,
     Settings,
+    TellPeers,
 )
 
 TINY = """
@@ -278,6 +280,15 @@
     assert [at for at, _, _ in bench.ends] == [15_000, 15_000, 25_000]
 
 
+def test_what_waits_on_others_holds_its_slot_and_a_full_table_takes_capacity() -> None:
+    bench = Bench("slots = 1\nconnections = 10")
+    bench.take(2, others_us=5_000)
+    bench.run(1.0)
+    assert [at for at, _, _ in bench.ends] == [15_000, 30_000]
+    bench.server.connections = 5
+    assert bench.server.rate == pytest.approx(0.95)
+
+
 def test_a_full_server_turns_away_and_a_stopped_one_breaks_what_it_holds() -> None:
     bench = Bench("waiting = 1")
     bench.take(4)
@@ -401,6 +412,26 @@
     assert 0.10 < unreachable[1]["unreachable"] < 0.25, "half of three seconds in ten"
 
 
+def test_messages_between_gateways_come_late_and_not_through_a_cut() -> None:
+    heard: list[tuple[int, int, int]] = []
+
+    class Talks(Textbook):
+        def handle(self, now_us: int, event: Event) -> list[Action]:
+            if isinstance(event, PeerMessage):
+                sent_us = int.from_bytes(event.data)
+                heard.append((self.settings.proxy, event.proxy, now_us - sent_us))
+                assert not 3e6 <= sent_us - START_US < 7e6
+            told = [TellPeers(now_us.to_bytes(8))] if isinstance(event, RequestArrived) else []
+            return [*super().handle(now_us, event), *told]
+
+    text = TINY.replace('{west = ["a", "b"]}', '{west = ["a"], east = ["b"]}')
+    text += '\n[[troubles]]\nkind = "cut"\nat_s = 3.0\nfor_s = 4.0\nregions = ["east"]\n'
+    found = score.result(played(scenario.parse(text, "tiny.toml"), Talks))
+    assert {pair[:2] for pair in heard} == {(0, 1), (1, 0)}
+    assert all(4_800 <= delay_us <= 38_000 for _, _, delay_us in heard)
+    assert found["costs"]["peer_bytes"] == 8 * len(heard) > 0
+
+
 @pytest.mark.parametrize(
     ("trouble", "outcome"),
     [
@@ -437,7 +468,7 @@
         (
             "servers = 4",
             "servers = 4\nserverz = 4",
-            "fleet.serverz: expected one of the keys gateways, servers",
+            "fleet.serverz: expected one of the keys gateways, servers, regions, machines",
         ),
         ("errors = 0.1", "errors = nan", "fleet.errors: expected a finite number, got nan"),
         (
