--- a/lab/model/commands.py
+++ b/lab/model/commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 import time
 from concurrent.futures import BrokenExecutor
@@ -42,6 +43,7 @@
 
     Results are kept as JSON lines; a run that was cut off goes on from them. The figures are the model's own.
     """
+    before = signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that the workers are ended too
     try:
         day = scenario.load(scenario.find(scenario_name))
         plan = experiment.Plan(
@@ -77,6 +79,8 @@
     except KeyboardInterrupt:
         print("lab: interrupted; the same command goes on from here", file=sys.stderr)
         return 130
+    finally:
+        signal.signal(signal.SIGTERM, before)
     results.sort(key=lambda r: (plan.policies.index(r["policy"]), r["seed"]))
     took_s = time.monotonic() - began
     print(f"{new} days played in {took_s:.1f} s, {events / took_s:,.0f} events a second", file=sys.stderr)
--- a/lab/model/world.py
+++ b/lab/model/world.py
@@ -140,6 +140,7 @@
 class World:
     def __init__(self, scenario: Scenario, make: Make, seed: int) -> None:
         self.scenario, self.seed, self.clock = scenario, seed, Clock()
+        self.zones = len(scenario.zones)
         self.day = draw_day(scenario, seed)
         self.network = Network(scenario, seed)
         self.costs: Counter[str] = Counter()
@@ -149,7 +150,7 @@
         self.open_connections: list[int] = []
         self.peers = stream(seed, "peers")
         self.make_servers()
-        entries = [ListedServer(self.ids[s.number], zone=s.number % len(scenario.zones),
+        entries = [ListedServer(self.ids[s.number], zone=self.zone(s.number),
                                 group=self.rack(s.number), kind=s.kind) for s in self.servers]  # fmt: skip
         self.registry = Registry(self, seed, entries)
         self.rules = Rules(self.clock, settings(scenario, 0))
@@ -159,7 +160,7 @@
         self.gateways: list[Gateway] = []
         for number in range(scenario.fleet.gateways):
             self.gateways.append(Gateway(self, number, make, seed, entries))
-        self.near = [[g for g in self.gateways if g.zone == n] for n in range(len(scenario.zones))]
+        self.near = [[g for g in self.gateways if g.zone == n] for n in range(self.zones)]
         self.down = 0  # gateways
         for number, trouble in enumerate(scenario.troubles):
             self.plan(trouble, stream(seed, f"trouble {number}"))
@@ -185,11 +186,10 @@
             server.on_fall = partial(self.fell, server)
 
     def rack(self, server: int) -> int:
-        zones = len(self.scenario.zones)
-        return server % zones + zones * (server // zones // self.scenario.fleet.rack)
+        return server % self.zones + self.zones * (server // self.zones // self.scenario.fleet.rack)
 
     def zone(self, server: int) -> int:
-        return server % len(self.scenario.zones)
+        return server % self.zones
 
     def play(self) -> None:
         longest_s = max(c.give_up_ms for c in self.scenario.traffic.classes) / 1e3
