--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -9,12 +9,14 @@
 from typing import Any
 
 import msgspec
+import numpy as np
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from lab.__main__ import lab
 from lab.model import experiment, scenario, score
+from lab.model.clients import beyond
 from lab.model.engine import START_US, Clock
 from lab.model.policies import POLICIES, Open, Policy, Textbook
 from lab.model.scenario import Scenario
@@ -122,6 +124,27 @@
     assert calm.times_us == loud.times_us and calm.work_us == loud.work_us
 
 
+def test_requests_beyond_a_quota_are_those_that_find_its_bucket_empty() -> None:
+    times = np.array([0.0, 0.1, 0.2, 0.3, 1.3, 1.4])
+    assert beyond(times, 2.0) == [False, False, True, True, False, False]
+    assert beyond(times, 0.0) == [False] * 6
+
+
+def test_worth_is_what_is_served_in_time() -> None:
+    class RefusesAll(Textbook):
+        def handle(self, now_us: int, event: Event) -> list[Action]:
+            return [Refuse(event.request)] if isinstance(event, RequestArrived) else []
+
+    kind = TINY.replace("errors = 0.1\n", "")
+    served = score.result(played(scenario.parse(kind, "tiny.toml"), Textbook))
+    assert served["G"] == served["worst_window"] == 1.0 and served["shares"]["in_time"] == 1.0
+    refused = score.result(played(tiny(), RefusesAll))
+    assert refused["G"] == 0.0 and refused["shares"]["refused"] == 1.0 and refused["p99_ms"] is None
+    kind = kind.replace("[0.9, 1.1]", "[0.05, 0.05]").replace("rate_per_s = 40.0", "rate_per_s = 2.0")
+    late = score.result(played(scenario.parse(kind, "tiny.toml"), Textbook))
+    assert late["shares"]["late"] > 0.8 and late["G"] < 0.45, "a quarter of the worth is left"
+
+
 # Rules
 
 
@@ -231,6 +254,25 @@
     assert 0.0 < first["at_s"] < 16.0 and first["gateway"] in (0, 1)
 
 
+class RepeatsAnywhere(Resends):
+    def is_unsafe(self, case: Open) -> bool:
+        return True
+
+
+@pytest.mark.parametrize(
+    ("terms", "broken"),
+    [
+        ('scope = "all"', set()),
+        ('scope = "zone"', {2}),
+        ('scope = "group"', {2}),
+        ("window_s = 0.01", {2}),
+    ],
+)
+def test_a_keyed_request_is_repeated_in_its_scope_and_window_only(terms: str, broken: set[int]) -> None:
+    text = TINY.replace('effect = "unsafe"', f'effect = "keyed", {terms}')
+    assert rules(played(scenario.parse(text, "tiny.toml"), RepeatsAnywhere)) == broken
+
+
 @pytest.mark.parametrize("policy", POLICIES)
 def test_the_policies_break_none_of_the_first_three(policy: str) -> None:
     assert rules(played(tiny(RELEASE), POLICIES[policy])) <= {4}
