Draw a run of the fleet model: lab report DIR writes one self-contained page

The page draws them with matplotlib as inline SVG, one colour a policy, the seeds as mean and range: policies side by side, served worth, latency percentiles from the HDR histograms, load, breakers and limits, broken rules and cost by kind. Equal results give an equal page.

Ruled out: a cell of SVG a server and second (paths by the thousand): the heat map is an embedded image. The page stands outside lab/model, so that a change of it does not part the results of one program.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -1,4 +1,4 @@
-"""Commands: `python -m lab module`, `scale`, `reload`, `up`, `run` and `compare`."""
+"""Commands: `python -m lab module`, `scale`, `reload`, `up`, `run`, `compare` and `report`."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 import uvloop
 
 from lab import module, reload, report, scale, schedule, up
-from lab.model.commands import compare_command, run_command
+from lab.model.commands import compare_command, report_command, run_command
 from lab.processes import ChildError
 from lab.tables import table
 from rosedeal.gateway.config import parse_config
@@ -41,7 +41,8 @@
             sys.exit(130)
         except click.exceptions.NoArgsIsHelpError:
             print(
-                "lab: no command; there are module, scale, reload, up, run and compare (--help tells more)",
+                "lab: no command; there are module, scale, reload, up, run, compare and report "
+                "(--help tells more)",
                 file=sys.stderr,
             )
             sys.exit(2)
@@ -335,6 +336,7 @@
 
 lab.add_command(run_command)
 lab.add_command(compare_command)
+lab.add_command(report_command)
 
 
 if __name__ == "__main__":
--- a/lab/model/commands.py
+++ b/lab/model/commands.py
@@ -1,4 +1,4 @@
-"""Commands: `python -m lab run` and `python -m lab compare`."""
+"""Commands: `python -m lab run`, `compare` and `report`."""
 
 from __future__ import annotations
 
@@ -120,3 +120,21 @@
     except (experiment.UsageError, OSError) as error:
         raise click.UsageError(str(error)) from None
     return 0
+
+
+@click.command("report")
+@click.argument("folder", metavar="DIR", type=click.Path(path_type=Path, exists=True, file_okay=False))
+def report_command(folder: Path) -> int:
+    """Draw what `lab run` has written in DIR: DIR/report.html, one file with all its pictures."""
+    from lab import page  # its plots take long to import
+
+    try:
+        path, notes = page.write(folder)
+    except experiment.UsageError as error:
+        raise click.UsageError(str(error)) from None
+    except OSError as error:
+        raise click.UsageError(f"{folder}: no report can be written: {error.strerror}") from None
+    for note in notes:
+        print(f"lab: {note}", file=sys.stderr)
+    print(path)
+    return 0
--- a/lab/model/score.py
+++ b/lab/model/score.py
@@ -87,5 +87,9 @@
         },
         "broken": {"count": world.rules.count, "named": world.rules.named},
         "worth_by_s": [[round(a), round(s)] for a, s in zip(asked.tolist(), served.tolist(), strict=True)],
+        "zones": list(scenario.zones),
+        "server_load": world.samples.servers,
+        "zone_load": world.samples.zones,
+        "guards": world.samples.guards,
         "events": world.clock.events,
     }  # fmt: skip
--- a/lab/model/world.py
+++ b/lab/model/world.py
@@ -15,6 +15,7 @@
 from lab.model.policies import Policy
 from lab.model.registry import Registry
 from lab.model.rules import FAULT, Rules
+from lab.model.samples import Samples
 from lab.model.scenario import (
     Cut,
     Down,
@@ -82,7 +83,7 @@
 
     def start(self) -> None:
         self.up: bool = True
-        self.policy = self.make(self.settings, int(self.seeds.integers(2**31)))
+        self.policy: Policy = self.make(self.settings, int(self.seeds.integers(2**31)))
         self.named = set(self.list)  # all that a list of this process has named
         self.stop_us = {  # when it was told that a server drains or is gone
             n: self.world.clock.now_us for n, e in self.list.items() if e.status is not ServerStatus.READY
@@ -148,6 +149,7 @@
         self.latency_us = [0] * len(self.day.times_us)  # of those served
         self.useful_us = 0.0  # server work that served an answer
         self.open_connections: list[int] = []
+        self.samples = Samples()
         self.peers = stream(seed, "peers")
         self.make_servers()
         entries = [ListedServer(self.ids[s.number], zone=self.zone(s.number),
@@ -196,7 +198,7 @@
         self.clock.run(START_US + us(self.scenario.seconds + longest_s + TAIL_S))
 
     def sweep(self) -> None:
-        """Once a second idle connections are closed, and the open ones counted."""
+        """Once a second idle connections are closed, the open ones counted, and a sample of the day taken."""
         now_us, keep_us = self.clock.now_us, us(self.scenario.fleet.keepalive_s)
         for gateway in self.gateways:
             for number, idle in gateway.idle.items():
@@ -206,6 +208,8 @@
                     server.connections -= sum(epoch == server.epoch for _, epoch in idle[:old])
                     del idle[:old]
         self.open_connections.append(sum(s.connections for s in self.servers))
+        if now_us <= START_US + us(self.scenario.seconds):
+            self.samples.take(self)
         self.clock.at(now_us + SWEEP_US, self.sweep)
 
     # Clients
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -5,6 +5,7 @@
 import json
 import random
 from collections.abc import Callable, Iterator
+from html.parser import HTMLParser
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +15,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lab import page
 from lab.__main__ import lab
 from lab.model import experiment, scenario, score
 from lab.model.clients import beyond
@@ -692,3 +694,101 @@
     experiment.write(tmp_path / "two" / experiment.FILE, header | {"digest": "2"}, [])
     assert called("compare", one, two) == 2
     assert capsys.readouterr().err.count("lab: ") == 2
+
+
+# Reports
+
+
+class Outline(HTMLParser):
+    """Sections, and whether each tag that is opened is closed in its turn."""
+
+    def __init__(self, text: str) -> None:
+        super().__init__()
+        self.open: list[str] = []
+        self.sections: list[str | None] = []
+        self.pictures: dict[str | None, int] = {}
+        self.ids: list[str | None] = []
+        self.feed(text)
+        self.close()
+        assert self.open == []
+
+    def handle_starttag(self, tag: str, attrs: list[tuple[str, str | None]]) -> None:
+        if tag != "meta":
+            self.open.append(tag)
+        self.ids += [value for name, value in attrs if name == "id"]
+        if tag == "section":
+            self.sections.append(dict(attrs)["id"])
+        if tag == "svg":
+            self.pictures[self.sections[-1]] = self.pictures.get(self.sections[-1], 0) + 1
+
+    def handle_endtag(self, tag: str) -> None:
+        assert self.open.pop() == tag
+
+    def handle_startendtag(self, tag: str, attrs: list[tuple[str, str | None]]) -> None:
+        pass
+
+
+def test_a_report_has_a_picture_of_each_part_and_refers_to_nothing_outside(
+    tmp_path: Path, here: list[tuple[str, int]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setitem(POLICIES, "random", AnswersTwice)
+    plan = experiment.Plan(tiny(RELEASE), ("rosedeal", "random"), 2)
+    experiment.run(plan, tmp_path, 1, lambda result: None)
+    assert called("report", str(tmp_path)) == 0
+    text = (tmp_path / page.NAME).read_text()
+    outline = Outline(text)
+    assert outline.sections == [
+        "policies-side-by-side", "served-worth-over-time", "latency-percentiles", "load-by-server-and-zone",
+        "breakers-and-limits-over-time", "broken-rules", "cost-by-kind",
+    ]  # fmt: skip
+    assert set(outline.pictures) == set(outline.sections) and len(set(outline.ids)) == len(outline.ids)
+    assert "answered twice" in text and "the operators' bench is the judge" in text
+    assert not any(word in text for word in ("src=", "@import", "<script", "<link", 'href="http'))
+    assert called("report", str(tmp_path)) == 0 and (tmp_path / page.NAME).read_text() == text
+
+
+def test_a_report_escapes_names_and_says_what_it_leaves_out(
+    tmp_path: Path, here: list[tuple[str, int]], capsys: pytest.CaptureFixture[str]
+) -> None:
+    name = "<i>$_{&amp;\0"
+    path = tmp_path / experiment.FILE
+    result = experiment.play(tiny(), "random", 1) | {"policy": name, "zones": [name, name]}
+    crash = {"policy": name, "seed": 2, "crash": name}
+    experiment.write(path, {"scenario": name, "knobs": [name], "program": name}, [result, crash])
+    path.write_bytes(path.read_bytes() + b'{"policy": "ran')
+    assert called("report", str(tmp_path)) == 0
+    text = (tmp_path / page.NAME).read_text()
+    assert Outline(text).sections and "<i>" not in text and "&lt;i&gt;$_{&amp;amp;" in text
+    said = "results.jsonl: the last line is cut off and left out"
+    assert capsys.readouterr().err == f"lab: {said}\n" and said in text
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        (None, "expected a folder with results that lab run has written"),
+        ('{"scenario": "x"}\n', "expected a folder with results that lab run has written"),
+        ('{"scenario": "x"}\n{"poli\n{}\n', "line 2: expected a result as JSON"),
+        ('{"scenario": "x"}\n{"policy": "a", "seed": 1}\n', "expected results of this program's form"),
+    ],
+)
+def test_a_report_of_no_results_is_one_line(
+    text: str | None, expected: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    if text is not None:
+        (tmp_path / experiment.FILE).write_text(text)
+    assert called("report", str(tmp_path)) == 2 and called("report", str(tmp_path / "none")) == 2
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 2 and expected in lines[0] and all(line.startswith("lab: ") for line in lines)
+    assert not (tmp_path / page.NAME).exists()
+
+
+def test_samples_tell_each_second_of_the_day() -> None:
+    found = score.result(played(tiny(RELEASE), POLICIES["rosedeal"]))
+    assert [len(found["server_load"][kind]) for kind in ("waiting", "work_ms")] == [10, 10]
+    for servers, zones in zip(found["server_load"]["waiting"], found["zone_load"]["waiting"], strict=True):
+        assert len(servers) == 4 and sum(servers) == sum(zones)
+    assert {kind: len(pairs) for kind, pairs in found["guards"].items()} == dict.fromkeys(
+        ("open", "half-open", "limit", "shed"), 10
+    )
+    assert all(0.0 <= middle <= most for pairs in found["guards"].values() for middle, most in pairs)
