--- a/lab/model/samples.py
+++ b/lab/model/samples.py
@@ -29,6 +29,10 @@
         self.guards: dict[str, list[list[float]]] = {}  # by kind: mean and most of the gateways
 
     def take(self, world: World) -> None:
+        """One more second: load in whole requests and ms, limits in requests, what is shed as a share.
+
+        The guards are those of the gateways that are up, and none where the policy is not rosedeal's.
+        """
         found = {
             "waiting": [float(server.waiting) for server in world.servers],
             "work_ms": [work_ms(server) for server in world.servers],
--- a/lab/page.py
+++ b/lab/page.py
@@ -159,7 +159,8 @@
                 self.band(upper, policy, share)
             of = max(self.of.values(), key=len)
             self.band(lower, None, np.array([r["worth_by_s"] for r in of])[:, :, 0] / 1e6)
-            upper.set(title="Share of the worth asked for that was served", ylabel="share", ylim=(-0.02, 1.03))
+            upper.set(title="Share of the worth asked for that was served", ylabel="share",
+                      ylim=(-0.02, 1.03))  # fmt: skip
             lower.set(title="Worth asked for: the same for all", xlabel="second of arrival",
                       ylabel="worth, millions")  # fmt: skip
             lower.set_ylim(bottom=0)
@@ -216,8 +217,8 @@
             parts = ["<h3>By zone</h3>", self.svg(figure)]
             first = {name: np.array(rs[0]["server_load"]["work_ms"]).T / 1e3 for name, rs in of.items()}
             most = max(0.2, *(float(values.max()) for values in first.values()))
-            count_ = max(len(values) for values in first.values())
-            figure = Figure((WIDE, 0.6 + len(first) * max(1.1, 0.03 * count_)), layout="constrained")
+            most_servers = max(len(values) for values in first.values())
+            figure = Figure((WIDE, 0.6 + len(first) * max(1.1, 0.03 * most_servers)), layout="constrained")
             column = figure.subplots(len(first), 1, sharex=True, squeeze=False)[:, 0]
             for axes, (policy, values) in zip(column, first.items(), strict=True):
                 shown = axes.imshow(
@@ -339,7 +340,10 @@
     # Plots
 
     def band(self, axes: Axes, policy: str | None, values: Floats, at: Floats | None = None) -> None:
-        """The mean of rows, one a seed, with their range; what is no policy's is grey."""
+        """The mean with the range of values, a row a seed, at places, by default the seconds from 1.
+
+        A value that is not a number is left out; what is no policy's is grey.
+        """
         colour = GREY if policy is None else self.colour[policy]
         there = np.ma.masked_invalid(values)
         x = np.arange(1, values.shape[1] + 1) if at is None else at
@@ -352,7 +356,10 @@
         self, names: Sequence[str], titles: Sequence[str], value: Callable[[Result, str], float | None],
         columns: int, most: float | None = None,
     ) -> str:  # fmt: skip
-        """A panel a name, with a bar a policy."""
+        """A panel a name, with a bar a policy to the mean of `value`, and a whisker over the seeds' range.
+
+        `most` is what every axis reaches to; without it, each reaches to its own.
+        """
         with matplotlib.rc_context(DRAWN):
             rows = -(-len(names) // columns)
             height = 0.45 + rows * (0.55 + 0.22 * len(self.of))
