--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Whether bad clients can bring the gateway over its memory limit."""
+"""Whether a request that may be repeated only within a window is sent again after it."""
 
 from __future__ import annotations
 
@@ -10,143 +10,116 @@
 
 import standins as s
 
-MEMORY_MB = 64
-SOCKETS = 256
-BAD_CLIENTS = 40
-# A body within the limit of 64 KiB, in small pieces; the piece that would end it never comes.
-BAD_BODY = b"2\r\nab\r\n" * 32_000
-DAY_S = 8.0
-BAD_CLIENTS_COME_S = 2.0
-REQUEST_INTERVAL_S = 0.05
-SERVICE_S = 0.1
-TIMEOUT_MS = 2000
+WINDOW_S = 0.8
+# On sockets every time limit is 50 ms longer, and a gateway may be held up for 0.15 s before it writes.
+SLACK_S = 0.05 + 0.15
+FAILS_AFTER_S = 0.3
+LATE_S = 0.6  # less than the time after which a system repeats its first packet, about 1 s
+CONNECT_TIMEOUT_S = 1.5
+TIMEOUT_MS = 3000
+REQUEST_ID = "c0ffee0000000001"
+KEY = "change-7"
 
 
-def resident_mb(process_id: int) -> float:
-    """Return the resident memory of a process in MB of 2^20 bytes; 0 once it has ended."""
-    try:
-        text = Path(f"/proc/{process_id}/status").read_text()
-    except (FileNotFoundError, ProcessLookupError):
-        return 0.0
-    lines = [line for line in text.splitlines() if line.startswith("VmRSS:")]
-    return int(lines[0].split()[1]) / 1024 if lines else 0.0
-
+class Servers:
+    """Three servers that recognize a repeat within the window, all of them together.
 
-class Day:
-    """One gateway, its clients, and the platform that enforces its memory limit."""
+    The first attempt of the request with the key runs and is then answered with an error. With the
+    disruption, the connections that are opened after that attempt come up late.
+    """
 
-    def __init__(self, record: s.Record, gateway: s.Gateway) -> None:
+    def __init__(self, record: s.Record, trouble: bool) -> None:
         self.record = record
-        self.gateway = gateway
-        self.was_killed = False
-        self.peak_mb = 0.0
-        self.served = 0
-        self.unanswered = 0
-        self.bad_outcomes: list[str] = []
-
-    async def enforce_memory_limit(self) -> None:
-        """Do as the platform: "Over `memory_mb` the gateway is killed"."""
-        process = self.gateway.process
-        assert process is not None
-        while process.returncode is None:
-            used_mb = resident_mb(process.pid)
-            if used_mb > self.peak_mb + 5:
-                self.record.write(f"platform: the gateway uses {used_mb:.0f} of {MEMORY_MB} MB")
-                self.peak_mb = used_mb
-            if used_mb > MEMORY_MB:
-                self.record.write("platform: over the limit, the gateway is killed")
-                self.was_killed = True
-                process.kill()
-                return
-            await asyncio.sleep(0.02)
-
-    async def send_requests(self) -> None:
-        """Send proper requests, one every 50 ms, each on a connection of its own."""
-        async with asyncio.TaskGroup() as group:
-            for number in range(int(DAY_S / REQUEST_INTERVAL_S)):
-                group.create_task(self.send_request(f"a{number:015x}"))
-                await asyncio.sleep(REQUEST_INTERVAL_S)
-
-    async def send_request(self, request_id: str) -> None:
-        """Send one proper request and wait for its answer."""
-        try:
-            reader, writer = await asyncio.open_connection(self.gateway.host, self.gateway.port)
-        except OSError:
-            self.record.write(f"client: {request_id} finds no gateway")
-            return
-        writer.write(s.request_bytes("view-statement", request_id, TIMEOUT_MS, "Connection: close"))
-        try:
-            head, _ = await asyncio.wait_for(s.read_message(reader), TIMEOUT_MS / 1000 + 0.5)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
-            self.unanswered += 1
-            self.record.write(f"client: {request_id} has no answer: {error!r}")
+        self.trouble = trouble
+        self.all = [s.StatementServer(record, f"s-{number}", self.answer) for number in range(3)]
+        self.effects: list[float] = []
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> list[dict[str, object]]:
+        """Begin to listen; return the entries for discovery."""
+        for server in self.all:
+            await server.start()
+        return [s.entry(server.name, server.address) for server in self.all]
+
+    async def answer(
+        self, server: s.StatementServer, head: s.Head, _body: bytes, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer a request and close the connection."""
+        answer = s.plain_answer(b"done", "200 OK", "Connection: close")
+        if not head.get("idempotency-key"):
+            server.run(head)
+        elif not self.effects:
+            self.take_effect(server, head)
+            await self.fail_later(server)
+            self.record.write(f"{server.name} answers 500 to {head.get('request-id')}")
+            answer = s.plain_answer(b"error", "500 Error", "Connection: close")
+        elif self.record.now() - self.effects[0] <= WINDOW_S + SLACK_S:
+            self.record.write(f"{server.name} discards the repeat of {KEY}")
         else:
-            self.served += " 200 " in head.first
-        writer.close()
-
-    async def send_badly(self, number: int) -> None:
-        """Send a request that never ends, and wait for an error or a close."""
-        began = self.record.now()
-        try:
-            reader, writer = await asyncio.open_connection(self.gateway.host, self.gateway.port)
-            head = s.request_bytes(
-                "request-change", f"bad{number:013x}", 900, "Transfer-Encoding: chunked", body=None
-            )
-            writer.write(head.replace(b"GET ", b"POST ", 1) + BAD_BODY)
-            first = await asyncio.wait_for(reader.read(1000), 8)
-            writer.close()
-        except (OSError, TimeoutError) as error:
-            first = repr(error).encode()
-        text = first.split(b"\r\n")[0].decode() or "a close"
-        self.bad_outcomes.append(f"{text} after {self.record.now() - began:.1f} s")
-
-    async def play(self, trouble: bool) -> None:
-        """Play the day."""
-        platform = asyncio.create_task(self.enforce_memory_limit())
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self.send_requests())
-            if trouble:
-                await asyncio.sleep(BAD_CLIENTS_COME_S)
-                kilobytes = BAD_CLIENTS * len(BAD_BODY) // 1024
-                self.record.write(f"{BAD_CLIENTS} bad clients send {kilobytes} KB in all")
-                for number in range(BAD_CLIENTS):
-                    group.create_task(self.send_badly(number))
-        platform.cancel()
-
-
-async def answer(server: s.StatementServer, head: s.Head, _body: bytes, writer: asyncio.StreamWriter) -> bool:
-    """Serve a request."""
-    server.run(head)
-    await asyncio.sleep(SERVICE_S)
-    writer.write(s.plain_answer(b"statement"))
-    return True
+            self.take_effect(server, head)
+        writer.write(answer)
+        return False
+
+    def take_effect(self, server: s.StatementServer, head: s.Head) -> None:
+        """Run the request with the key."""
+        server.run(head)
+        self.effects.append(self.record.now())
+        since = self.effects[-1] - self.effects[0]
+        self.record.write(f"{server.name}: {KEY} takes effect, {since:.3f} s after it first did")
+
+    async def fail_later(self, server: s.StatementServer) -> None:
+        """Work for a while; with the disruption, new connections to the other servers come up late."""
+        others = [other for other in self.all if other is not server]
+        if self.trouble:
+            self.tasks.append(asyncio.create_task(self.come_up_late(others)))
+        await asyncio.sleep(FAILS_AFTER_S)
+
+    async def come_up_late(self, servers: list[s.StatementServer]) -> None:
+        """Accept no connection until some time after the first attempt has failed."""
+        for server in servers:
+            await server.stop_accepting()
+        await asyncio.sleep(FAILS_AFTER_S + LATE_S)
+        for server in servers:
+            server.accept_again()
+
+
+async def send_requests(record: s.Record, gateway: s.Gateway) -> None:
+    """Send four plain requests, so that one connection in six is late, and then the one with the key."""
+    reader, writer = await asyncio.open_connection(gateway.host, gateway.port)
+    for number in range(4):
+        writer.write(s.request_bytes("view-statement", f"a{number:015x}", 2000))
+        head, _ = await s.read_message(reader)
+        record.write(f"client got: {head.first}")
+    record.write(f"client sends {REQUEST_ID}")
+    key = f"Idempotency-Key: {KEY}"
+    writer.write(s.request_bytes("request-change", REQUEST_ID, TIMEOUT_MS, key, body=b"paper copy"))
+    head, body = await asyncio.wait_for(s.read_message(reader), TIMEOUT_MS / 1000 + 1)
+    record.write(f"client got: {head.first} {body!r}")
+    await asyncio.sleep(1)
+    writer.close()
 
 
 async def case(record: s.Record, folder: Path, trouble: bool) -> int:
     """Run the case."""
-    servers = [s.StatementServer(record, f"s-{number}", answer) for number in range(4)]
-    for server in servers:
-        await server.start()
-    discovery = s.Discovery(record, [s.entry(server.name, server.address) for server in servers])
+    servers = Servers(record, trouble)
+    discovery = s.Discovery(record, await servers.start())
     await discovery.start()
     classes = [
         s.request_class("view-statement", "free"),
-        s.request_class("request-change", "single_shot", 1000000),
+        s.request_class("request-change", "guarded", TIMEOUT_MS * 1000, windowUs=int(WINDOW_S * 1e6)),
     ]
-    gateway = s.Gateway(record, folder, discovery, s.settings(classes), memory_mb=MEMORY_MB, sockets=SOCKETS)
+    settings = s.settings(classes, connectTimeoutUs=int(CONNECT_TIMEOUT_S * 1e6))
+    gateway = s.Gateway(record, folder, discovery, settings)
     try:
         await gateway.start()
-        day = Day(record, gateway)
-        await day.play(trouble)
+        await send_requests(record, gateway)
     finally:
         await gateway.end()
         record.write(f"log of the gateway: {gateway.log()}")
-    for outcome in sorted(set(day.bad_outcomes)):
-        record.write(f"bad clients got: {day.bad_outcomes.count(outcome)} times {outcome}")
-    record.write(f"peak {day.peak_mb:.0f} MB; {day.served} served, {day.unanswered} without an answer")
-    if not day.served:
-        raise s.CaseError("no request was served")
-    return s.BROKEN if day.was_killed else s.HELD
+    if not servers.effects:
+        raise s.CaseError("the request reached no server")
+    record.write(f"the request took effect {len(servers.effects)} times")
+    return s.BROKEN if len(servers.effects) > 1 else s.HELD
 
 
 if __name__ == "__main__":
