--- a/review/3/case.py
+++ b/review/3/case.py
@@ -138,6 +138,7 @@
         await gateway.start()
         day = Day(record, gateway)
         await day.play(trouble)
+        has_ended = gateway.process is None or gateway.process.returncode is not None
     finally:
         await gateway.end()
         record.write(f"log of the gateway: {gateway.log()}")
@@ -146,7 +147,7 @@
     record.write(f"peak {day.peak_mb:.0f} MB; {day.served} served, {day.unanswered} without an answer")
     if not day.served:
         raise s.CaseError("no request was served")
-    return s.BROKEN if day.was_killed else s.HELD
+    return s.BROKEN if day.was_killed or has_ended else s.HELD
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -450,7 +450,7 @@
 
         try:
             code = asyncio.run(bounded())
-        except (CaseError, OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+        except Exception as error:  # whatever it is, it says nothing about the rule
             record.write(f"the case could not run: {error!r}")
             code = NOT_RUN
         record.write({HELD: "rule held", BROKEN: "RULE BROKEN", NOT_RUN: "not run"}[code])
