--- a/review/2/case.py
+++ b/review/2/case.py
@@ -87,6 +87,7 @@
     """Send four plain requests, so that one connection in six is late, and then the one with the key."""
     reader, writer = await asyncio.open_connection(gateway.host, gateway.port)
     for number in range(4):
+        record.write(f"client sends a{number:015x}")
         writer.write(s.request_bytes("view-statement", f"a{number:015x}", 2000))
         head, _ = await s.read_message(reader)
         record.write(f"client got: {head.first}")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -74,6 +74,7 @@
         except OSError:
             self.record.write(f"client: {request_id} finds no gateway")
             return
+        self.record.write(f"client sends {request_id}")
         writer.write(s.request_bytes("view-statement", request_id, TIMEOUT_MS, "Connection: close"))
         try:
             head, _ = await asyncio.wait_for(s.read_message(reader), TIMEOUT_MS / 1000 + 0.5)
@@ -82,6 +83,7 @@
             self.record.write(f"client: {request_id} has no answer: {error!r}")
         else:
             self.served += " 200 " in head.first
+            self.record.write(f"client got for {request_id}: {head.first}")
         writer.close()
 
     async def send_badly(self, number: int) -> None:
