Keep a body that is being read as one buffer, not as one object for each chunk

Cause: RequestReader.on_body kept every piece that the parser hands over in a list. A chunk of two bytes is an object of its own, so that a body within the limit of 64 KiB took 1.43 MB of Python objects and 1.8 MB of the process. The limit counts content only. UpstreamConnection.on_body did the same with responses. Measured on a reader alone: the same body with a Content-Length or in one chunk took 65 KB, so that neither the number of connections nor the head is at fault.

Both now append to one bytearray. The two tests measure 1,433,700 and 1,424,218 bytes without the change, where 98,304 are allowed.

--- a/load_balancer/gateway/incoming_request.py
+++ b/load_balancer/gateway/incoming_request.py
@@ -17,7 +17,7 @@
 
     Attributes:
         received_at: Loop time of its last byte, in seconds.
-        body: The parts of its content.
+        body: Its content; one object, as the parser may hand it over in tens of thousands of pieces.
         size: Bytes of the headers until the head is whole, then of the body.
         keep_alive: Whether another request may follow on the connection.
         rejection: The error to answer it with, if it cannot be served.
@@ -27,7 +27,7 @@
     target: bytes = b""
     method: bytes = b""
     headers: list[Header] = field(default_factory=list)
-    body: list[bytes] = field(default_factory=list)
+    body: bytearray = field(default_factory=bytearray)
     size: int = 0
     keep_alive: bool = True
     rejection: HttpRequestError | None = None
@@ -134,7 +134,7 @@
         if self._request.size > BODY_LIMIT:
             self.fail(HttpRequestError(413, f"body over {BODY_LIMIT} bytes"))
         elif not self.is_stopped:
-            self._request.body.append(body)
+            self._request.body += body
 
     def on_message_complete(self) -> None:
         """End the request."""
--- a/load_balancer/gateway/request_parsing.py
+++ b/load_balancer/gateway/request_parsing.py
@@ -84,7 +84,7 @@
         method=incoming.method,
         target=incoming.target,
         headers=_encode_end_to_end_headers(incoming.headers, headers.get(b"connection", b"")),
-        body=b"".join(incoming.body),
+        body=bytes(incoming.body),
         key=_parse_affinity_key(incoming.target),
         work_us=_parse_integer(headers.get(b"work-hint", b"")),
         is_retry=headers.get(b"client-retry") == b"1",
--- a/load_balancer/gateway/upstream_connection.py
+++ b/load_balancer/gateway/upstream_connection.py
@@ -50,7 +50,7 @@
         self._response = Response()
         self._received_bytes = 0  # since the request was written
         self._size = 0  # bytes of the current head or, after the head, of the body
-        self._chunks: list[bytes] = []
+        self._body = bytearray()  # one object, as the parser may hand it over in tens of thousands of pieces
         self._is_complete = False
         self._keep_alive = False
         self._parser = httptools.HttpResponseParser(self)
@@ -170,7 +170,7 @@
         """Report the complete response, and release or close the connection."""
         response = self._response
         response.status = self._parser.get_status_code()
-        response.body = b"".join(self._chunks)
+        response.body = bytes(self._body)
         self.attempt = None
         self._is_complete = False
         if attempt.written and self._keep_alive:
@@ -186,7 +186,7 @@
         if self._is_complete:
             raise HttpResponseError("a second response to one request")
         self._response = Response()
-        self._chunks = []
+        self._body = bytearray()
         self._size = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -202,7 +202,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Add a part of the body."""
-        self._chunks.append(body)
+        self._body += body
         self._size += len(body)
         if self._size > BODY_LIMIT:
             raise HttpResponseError("body too long")
--- /dev/null
+++ b/tests/gateway/test_buffered_memory.py
@@ -0,0 +1,86 @@
+"""Memory of messages that are being received: hostile peers must not bring a gateway over its limit."""
+
+from __future__ import annotations
+
+import tracemalloc
+from collections.abc import Iterator
+
+import pytest
+
+from load_balancer.gateway.http_message import BODY_LIMIT
+from load_balancer.gateway.incoming_request import IncomingRequest, RequestReader
+from tests.gateway.event_loop import runs_in_event_loop
+from tests.gateway.http_client import encode_request
+from tests.gateway.running_gateway import running_gateway
+
+READ_BYTES = 4096
+# `BODY_LIMIT` bytes in the smallest pieces that are objects of their own; the last chunk is missing.
+SMALL_CHUNKS = b"2\r\nab\r\n" * (BODY_LIMIT // 2)
+# What a body may take: its content, a quarter more for the growth of its buffer, and the objects around it.
+BODY_MEMORY_LIMIT = BODY_LIMIT * 5 // 4 + 16 * 1024
+
+
+class RequestRecorder:
+    """Keeps the requests that a reader has parsed."""
+
+    def __init__(self) -> None:
+        self.requests: list[IncomingRequest] = []
+
+    def head_received(self, request: IncomingRequest) -> None:
+        pass
+
+    def request_received(self, request: IncomingRequest) -> None:
+        self.requests.append(request)
+
+
+class MemoryMeter:
+    """Measures the memory that Python's objects take."""
+
+    def __init__(self) -> None:
+        self._before = 0
+        self.restart()
+
+    def restart(self) -> None:
+        """Measure from now on."""
+        self._before = tracemalloc.get_traced_memory()[0]
+
+    def used(self) -> int:
+        """Return how many bytes have been allocated since the start and not been freed."""
+        return tracemalloc.get_traced_memory()[0] - self._before
+
+
+@pytest.fixture
+def memory() -> Iterator[MemoryMeter]:
+    """Trace allocations during the test."""
+    tracemalloc.start()
+    yield MemoryMeter()
+    tracemalloc.stop()
+
+
+def feed(reader: RequestReader, data: bytes) -> None:
+    """Feed a reader in pieces of `READ_BYTES`, as long as it reads."""
+    for start in range(0, len(data), READ_BYTES):
+        if not reader.is_stopped:
+            reader.feed(data[start : start + READ_BYTES])
+
+
+def test_a_request_body_in_small_chunks_takes_no_more_than_its_content(memory: MemoryMeter) -> None:
+    """Kept as one object for each chunk, 40 bodies of 64 KB took over 70 MB, and the gateway was killed."""
+    reader = RequestReader(RequestRecorder(), lambda: 0.0)
+    feed(reader, encode_request("buy", Transfer_Encoding="chunked") + SMALL_CHUNKS)
+    assert memory.used() < BODY_MEMORY_LIMIT
+
+
+@runs_in_event_loop
+async def test_a_response_body_in_small_chunks_takes_no_more_than_its_content(memory: MemoryMeter) -> None:
+    """Kept as one object for each chunk, a response of 64 KB took 1.4 MB like a request."""
+    async with running_gateway() as gateway:
+        client = await gateway.client()
+        client.send(encode_request())
+        await gateway.endpoint.requests.get()
+        (connection,) = gateway.proxy.upstream.connections
+        memory.restart()
+        connection.data_received(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for start in range(0, len(SMALL_CHUNKS), READ_BYTES):
+            connection.data_received(SMALL_CHUNKS[start : start + READ_BYTES])
+        assert memory.used() < BODY_MEMORY_LIMIT
