Limit the number of headers and what follows the content of a body

Cause: limits count the bytes of a head, but each header takes 150 bytes more in memory; and nothing counts what the parser buffers itself after the head, where a trailer is kept until its end of line.

A message has 100 headers at most (431 for a request, a reset for a response). The reader feeds the parser 16 KB at a time and rejects a body with more than 16 KB between two parts of its content, which is all that trailers and chunk extensions may take. Tests fail without the change: no rejection, a 200 instead of a reset.

--- a/load_balancer/gateway/incoming_request.py
+++ b/load_balancer/gateway/incoming_request.py
@@ -8,7 +8,16 @@
 
 import httptools
 
-from load_balancer.gateway.http_message import BODY_LIMIT, HEAD_LIMIT, Header, HttpRequestError
+from load_balancer.gateway.http_message import (
+    BODY_LIMIT,
+    HEAD_LIMIT,
+    HEADER_COUNT_LIMIT,
+    Header,
+    HttpRequestError,
+)
+
+# The parser is fed this many bytes at a time, so that what it buffers itself is counted in time.
+FEED_BYTES = 16 * 1024
 
 
 @dataclass(slots=True)
@@ -53,6 +62,10 @@
 class RequestReader:
     """A parser of the bytes of one connection.
 
+    What it keeps is bounded: the head by size and number of headers, the body by its content, and by
+    `HEAD_LIMIT` what arrives in a body between two parts of its content, such as trailers, of which the
+    parser buffers the current one.
+
     Attributes:
         is_stopped: Whether further bytes are ignored, because a request was rejected or no further request
             is expected. What was received of a request is freed then.
@@ -74,9 +87,19 @@
         self._request = IncomingRequest()
         # Bytes received of a head that is not complete; None while no head is being read.
         self._head_bytes: int | None = None
+        self._framing_bytes = 0  # received in the body since the last part of its content
 
     def feed(self, data: bytes) -> None:
         """Parse a piece of the client's bytes."""
+        if len(data) <= FEED_BYTES:
+            self._feed_part(data)
+            return
+        view = memoryview(data)
+        for start in range(0, len(view), FEED_BYTES):
+            if not self.is_stopped:
+                self._feed_part(view[start : start + FEED_BYTES])
+
+    def _feed_part(self, data: bytes | memoryview) -> None:
         parser = self._parser
         if parser is None:
             return
@@ -84,6 +107,7 @@
             self._head_bytes = 0
         if self._head_bytes is not None:
             self._head_bytes += len(data)
+        self._framing_bytes += len(data)
         try:
             parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -92,6 +116,8 @@
             self.fail(HttpRequestError(400, "malformed request"))
         if self._head_bytes is not None and self._head_bytes > HEAD_LIMIT:
             self.fail(HttpRequestError(431, "head too long"))
+        elif self._head_bytes is None and self._framing_bytes > HEAD_LIMIT:
+            self.fail(HttpRequestError(431, "trailers or chunk extensions too long"))
 
     def stop(self) -> None:
         """Ignore all further bytes."""
@@ -125,6 +151,8 @@
         request = self._request
         request.headers.append((name, value))
         request.size += len(name) + len(value) + 4  # the colon, a space and the line's end
+        if len(request.headers) > HEADER_COUNT_LIMIT:
+            self.fail(HttpRequestError(431, f"more than {HEADER_COUNT_LIMIT} headers"))
 
     def on_headers_complete(self) -> None:
         """End the head."""
@@ -132,6 +160,7 @@
         if request.size + len(request.target) > HEAD_LIMIT:
             self.fail(HttpRequestError(431, "head too long"))
         self._head_bytes = None
+        self._framing_bytes = 0
         if self._parser is None:
             return
         request.size = 0
@@ -142,6 +171,7 @@
         """Add a part of the body."""
         if self.is_stopped:
             return
+        self._framing_bytes = 0
         self._request.size += len(body)
         if self._request.size > BODY_LIMIT:
             self.fail(HttpRequestError(413, f"body over {BODY_LIMIT} bytes"))
--- a/load_balancer/gateway/upstream_connection.py
+++ b/load_balancer/gateway/upstream_connection.py
@@ -9,7 +9,13 @@
 
 from load_balancer.config.addresses import Address
 from load_balancer.errors import LoadBalancerError
-from load_balancer.gateway.http_message import BODY_LIMIT, HEAD_LIMIT, HttpResponseError, Response
+from load_balancer.gateway.http_message import (
+    BODY_LIMIT,
+    HEAD_LIMIT,
+    HEADER_COUNT_LIMIT,
+    HttpResponseError,
+    Response,
+)
 from load_balancer.gateway.socket_state import has_unread_input
 from load_balancer.gateway.upstream_attempt import UpstreamAttempt
 
@@ -206,6 +212,8 @@
         self._size += len(name) + len(value)
         if self._size > HEAD_LIMIT:
             raise HttpResponseError("head too long")
+        if len(self._response.headers) > HEADER_COUNT_LIMIT:
+            raise HttpResponseError("too many headers")
 
     def on_headers_complete(self) -> None:
         """Begin to count the body."""
--- a/tests/gateway/test_buffered_memory.py
+++ b/tests/gateway/test_buffered_memory.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from load_balancer.gateway.http_message import BODY_LIMIT, HttpRequestError
+from load_balancer.decisions.events import AttemptEnded, Outcome
+from load_balancer.gateway.http_message import BODY_LIMIT, HEADER_COUNT_LIMIT, HttpRequestError
 from load_balancer.gateway.incoming_request import IncomingRequest, RequestReader
 from tests.gateway.event_loop import runs_in_event_loop, wait_until
 from tests.gateway.http_client import encode_request
@@ -36,6 +37,10 @@
     def request_received(self, request: IncomingRequest) -> None:
         self.requests.append(request)
 
+    def statuses(self) -> list[int]:
+        """Return the statuses of the rejections."""
+        return [each.rejection.response.status for each in self.requests if each.rejection is not None]
+
 
 class MemoryMeter:
     """Measures the memory that Python's objects take."""
@@ -97,6 +102,39 @@
         assert memory.used() < BODY_MEMORY_LIMIT
 
 
+MANY_HEADERS = b"".join(b"X-%d: 1\r\n" % number for number in range(HEADER_COUNT_LIMIT + 2))
+
+
+def test_a_request_with_many_small_headers_is_rejected_and_freed(memory: MemoryMeter) -> None:
+    """Limited by size alone, a head of 16 KB in small headers took 200 KB, on each connection."""
+    recorder = RequestRecorder()
+    reader = RequestReader(recorder, lambda: 0.0)
+    feed(reader, b"GET /look HTTP/1.1\r\n" + MANY_HEADERS)
+    assert recorder.statuses() == [431]
+    assert memory.used() < FREED_MEMORY_LIMIT
+
+
+@runs_in_event_loop
+async def test_a_response_with_many_small_headers_is_a_reset() -> None:
+    """Limited by size alone, an endpoint's head in small headers took as much as a client's."""
+    async with running_gateway() as gateway:
+        client = await gateway.client()
+        client.send(encode_request("buy"))
+        received = await gateway.endpoint.requests.get()
+        received.respond_raw(b"HTTP/1.1 200 OK\r\n" + MANY_HEADERS + b"Content-Length: 0\r\n\r\n")
+        assert (await gateway.wait_for_event(AttemptEnded)).outcome is Outcome.RESET
+
+
+@pytest.mark.parametrize("prefix", [b"0\r\nTrailer: ", b"1;extension="])
+def test_what_follows_the_content_of_a_body_is_limited(prefix: bytes, memory: MemoryMeter) -> None:
+    """A trailer without an end was kept by the parser, so that 96 clients took 190 MB."""
+    recorder = RequestRecorder()
+    reader = RequestReader(recorder, lambda: 0.0)
+    reader.feed(encode_request("buy", Transfer_Encoding="chunked") + prefix + b"x" * BODY_LIMIT)
+    assert recorder.statuses() == [431]
+    assert memory.used() < FREED_MEMORY_LIMIT
+
+
 def test_a_rejected_request_is_freed(memory: MemoryMeter) -> None:
     """The body of a request that was answered 408 stayed in memory until its connection had ended."""
     reader = RequestReader(RequestRecorder(), lambda: 0.0)
