Bound what messages take in memory on all connections together

Cause: there was no count over all connections, so that nothing related their buffers to limits.memory_mb.

BufferBudget counts the bytes of requests from the first byte to the answer, of responses being received and of answers that have not left the process, against a quarter of limits.memory_mb. Over half of that, requests received in part are rejected with 503, the largest first, then whole ones before the balancer sees them: nothing has run. Over all of it a response ends as a reset. The event buffers.exhausted says which. A request whose client has gone drops its body, also while an attempt that cannot be cancelled lasts.

`show` prints the limit, which test_show_prints_every_default now expects.

--- a/load_balancer/config/comparison.py
+++ b/load_balancer/config/comparison.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from functools import reduce
+from operator import getitem
 from typing import Any
 
 import msgspec
@@ -13,7 +15,7 @@
 from load_balancer.config.steps import run_to_completion
 from load_balancer.decisions.settings_version import SettingsVersion, initial_version, next_version
 
-APPLIED_IMMEDIATELY = ("discovery", "peers", "peers_all")
+APPLIED_IMMEDIATELY = ("discovery", "peers", "peers_all", "limits.memory_mb")
 APPLIED_AT_START = ("seed",)
 
 
@@ -78,11 +80,11 @@
         yield item_changes.summary(title)
         yield from _truncated(list(item_changes.details()), max_lines)
     yield from _section("other settings, applied immediately", _changed_fields(old_settings, new_settings))
-    for title, keys in (
+    for title, paths in (
         ("applied immediately", APPLIED_IMMEDIATELY),
         ("applied at the next start only", APPLIED_AT_START),
     ):
-        changes = _changed_fields(_select(old.document, keys), _select(new.document, keys))
+        changes = _changed_fields(_select(old.document, paths), _select(new.document, paths))
         yield from _section(title, changes)
     if restart_only:
         reason = "rejected by a gateway running with OLD; these settings need a restart"
@@ -138,8 +140,8 @@
     return msgspec.json.encode(value).decode()
 
 
-def _select(document: JsonObject, keys: Iterable[str]) -> JsonObject:
-    return {key: document[key] for key in keys}
+def _select(document: JsonObject, paths: Iterable[str]) -> JsonObject:
+    return {path: reduce(getitem, path.split("."), document) for path in paths}
 
 
 def _truncated(lines: Sequence[str], max_lines: int) -> Iterator[str]:
--- a/load_balancer/config/config_reader.py
+++ b/load_balancer/config/config_reader.py
@@ -58,6 +58,7 @@
         discovery=identity.discovery,
         seed=seed,
         max_sockets=model.limits.sockets,
+        memory_limit_mb=model.limits.memory_mb,
         settings=settings,
         names=names,
         cached_endpoint_list=cached_endpoint_list,
--- a/load_balancer/config/effective_config.py
+++ b/load_balancer/config/effective_config.py
@@ -61,7 +61,7 @@
         "listen": format_address(config.listen),
         "discovery": format_address(config.discovery),
         "seed": f"{config.seed:x}",
-        "limits": {"sockets": config.max_sockets},
+        "limits": _with_integers({"sockets": config.max_sockets, "memory_mb": config.memory_limit_mb}),
         "peer_listen": format_address(config.peer_listen) if config.peer_listen else None,
         "peers": [format_address(peer) for peer in config.peers],
         "peers_all": format_address(config.peers_all) if config.peers_all else None,
--- a/load_balancer/config/file_models.py
+++ b/load_balancer/config/file_models.py
@@ -12,9 +12,11 @@
 
     Attributes:
         sockets: The number of file descriptors that the process may hold.
+        memory_mb: The memory that the process may use, in MB of 10^6 bytes.
     """
 
     sockets: Annotated[int, Meta(ge=128)] = 1024
+    memory_mb: Annotated[float, Meta(gt=0)] = 128.0
 
 
 class EndpointListModel(Struct):
--- a/load_balancer/config/gateway_config.py
+++ b/load_balancer/config/gateway_config.py
@@ -29,6 +29,7 @@
         discovery: Address of service discovery.
         seed: Seed of the random number generator.
         max_sockets: Number of file descriptors that the process may hold.
+        memory_limit_mb: Memory that the process may use, in MB of 10^6 bytes.
         settings: The balancer's settings.
         names: The operator's names for classes, tenants, zones and endpoint kinds.
         cached_endpoint_list: The endpoint list to start with, in service discovery's JSON form.
@@ -43,6 +44,7 @@
     discovery: Address
     seed: int
     max_sockets: int
+    memory_limit_mb: float
     settings: Settings
     names: NameTable
     cached_endpoint_list: dict[str, Any]
--- a/load_balancer/gateway/client_connection.py
+++ b/load_balancer/gateway/client_connection.py
@@ -7,7 +7,8 @@
 from functools import partial
 from typing import Protocol, cast
 
-from load_balancer.gateway.event_log import log_event
+from load_balancer.gateway.buffer_budget import BufferReservation
+from load_balancer.gateway.event_log import log_buffers_exhausted, log_event
 from load_balancer.gateway.http_message import BODY_LIMIT, HttpRequestError, Response, text_response
 from load_balancer.gateway.incoming_request import IncomingRequest, RequestReader
 from load_balancer.gateway.lingering_close import LingeringClose
@@ -43,6 +44,9 @@
     def discard(self, connection: ClientConnection) -> None:
         """Remove a connection that is closed."""
 
+    def reclaim_buffers(self) -> None:
+        """Reject requests received in part until the other requests may be served."""
+
 
 class ClientConnection(asyncio.Protocol):
     """A connection from a client.
@@ -59,6 +63,7 @@
         is_closing_when_idle: Whether it will be closed unless another request arrives first.
         is_write_paused: Whether the write buffer is full, as the client does not read its answers.
         last_activity: Loop time of the last read or answer, in seconds.
+        reservation: What its requests and unsent answers take of the budget for messages.
     """
 
     def __init__(self, owner: ConnectionOwner) -> None:
@@ -72,6 +77,7 @@
         self.is_closing_when_idle = False
         self.is_write_paused = False
         self.last_activity = self.reader.began_at
+        self.reservation = BufferReservation(owner.proxy.buffers)
         self._owner = owner
         # The current request, once the proxy has accepted it.
         self._pending: PendingRequest | None = None
@@ -93,6 +99,11 @@
         """Whether only a part of a request has been received and no other answer is pending."""
         return self._has_nothing_to_answer and self.reader.has_partial_request
 
+    @property
+    def is_reclaimable(self) -> bool:
+        """Whether a request has been received in part that may still be rejected to free its memory."""
+        return self.has_only_partial_request and not self.reader.is_stopped
+
     @property
     def _has_nothing_to_answer(self) -> bool:
         return self.current is None and not self.waiting and not self.is_lingering
@@ -118,6 +129,9 @@
         if not self.reader.is_stopped:
             self.last_activity = self._owner.loop.time()
             self.reader.feed(data)
+            self.count_buffered()
+            if self._owner.proxy.buffers.is_exhausted_for_requests:
+                self._owner.reclaim_buffers()
             self._serve_next()
 
     def pause_writing(self) -> None:
@@ -130,6 +144,7 @@
     def resume_writing(self) -> None:
         """Resume serving requests."""
         self.is_write_paused = False
+        self.count_buffered()
         self._owner.loop.call_soon(self._serve_next)
 
     def eof_received(self) -> bool:
@@ -147,9 +162,23 @@
         self.reader.stop()
         self.waiting.clear()
         pending, self._pending, self.current = self._pending, None, None
+        self.count_buffered()
         if pending is not None:
             self._owner.proxy.request_tracker.client_disconnected(pending)
 
+    # Memory
+
+    def count_buffered(self) -> None:
+        """Count the bytes of requests without an answer and of answers that have not left the process."""
+        size = self.reader.buffered_bytes
+        if self.current is not None:
+            size += self.current.received_bytes
+        for request in self.waiting:
+            size += request.received_bytes
+        if self.transport is not None and not self.transport.is_closing():
+            size += self.transport.get_write_buffer_size()
+        self.reservation.resize(size)
+
     # RequestListener
 
     def head_received(self, request: IncomingRequest) -> None:
@@ -192,7 +221,12 @@
             return
         if self.is_over_limit:
             raise HttpRequestError(503, "too many connections")
+        buffers = owner.proxy.buffers
+        if buffers.is_exhausted_for_requests:
+            log_buffers_exhausted(buffers, "a request was rejected")
+            raise HttpRequestError(503, "too many bytes buffered")
         client_request = parse_request(incoming, owner.lookup, owner.loop.time())
+        incoming.body.clear()  # copied
         pending = owner.proxy.accept(client_request, partial(self._answer, incoming), self.has_disconnected)
         if pending is not None and not pending.is_closed:
             self._pending = pending
@@ -206,6 +240,7 @@
         self.current = self._pending = None
         self.write(response.encode(close=close, without_body=incoming.method == b"HEAD"))
         self.last_activity = self._owner.loop.time()
+        self.count_buffered()
         if close:
             self._begin_lingering_close()
         elif self.waiting:
--- a/load_balancer/gateway/client_request.py
+++ b/load_balancer/gateway/client_request.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 
 @dataclass(slots=True, frozen=True)
@@ -34,6 +34,10 @@
     tenant: int = 0
     is_write: bool = False
 
+    def without_content(self) -> ClientRequest:
+        """Return the request without the parts that are only needed to send it: headers and body."""
+        return replace(self, headers=b"", body=b"") if self.body else self
+
     def encode(self, timeout_us: int) -> bytes:
         """Return the bytes for an endpoint.
 
--- a/load_balancer/gateway/client_server.py
+++ b/load_balancer/gateway/client_server.py
@@ -8,6 +8,7 @@
 from load_balancer.config.gateway_config import Config
 from load_balancer.config.steps import run_to_completion
 from load_balancer.gateway.client_connection import TOO_MANY_CONNECTIONS, ClientConnection
+from load_balancer.gateway.event_log import log_buffers_exhausted
 from load_balancer.gateway.http_message import HttpRequestError
 from load_balancer.gateway.request_parsing import lookup_steps
 from load_balancer.gateway.reverse_proxy import ReverseProxy
@@ -118,12 +119,27 @@
             connection.write(TOO_MANY_CONNECTIONS.encode(close=True))
             connection.close()
 
+    # Memory
+
+    def reclaim_buffers(self) -> None:
+        """Reject requests received in part, the largest first, until others may be served."""
+        buffers = self.proxy.buffers
+        while buffers.is_exhausted_for_requests:
+            reclaimable = [each for each in self.connections if each.is_reclaimable]
+            if not reclaimable:
+                return
+            log_buffers_exhausted(buffers, "a request received in part was rejected")
+            largest = max(reclaimable, key=lambda each: (each.reservation.size, -each.reader.began_at))
+            largest.reject_partial_request(HttpRequestError(503, "too many bytes buffered"))
+
     # Timeouts
 
     def sweep(self) -> None:
         """Close connections past their idle timeout; answer requests that were not received whole in time."""
         now = self.loop.time()
         for connection in list(self.connections):
+            if connection.reservation.size:
+                connection.count_buffered()  # answers may have left the process
             if connection.is_idle:
                 if self._is_past_idle_timeout(connection, now):
                     connection.close_when_idle()
--- a/load_balancer/gateway/event_log.py
+++ b/load_balancer/gateway/event_log.py
@@ -18,6 +18,7 @@
 from structlog.stdlib import BoundLogger, ProcessorFormatter
 from structlog.typing import EventDict, WrappedLogger
 
+from load_balancer.gateway.buffer_budget import BufferBudget
 from load_balancer.gateway.log_events import EVENTS, RegisteredEvent
 from load_balancer.gateway.log_events_page import render_page
 from load_balancer.gateway.repeat_counter import Fields, RepeatCounter
@@ -49,6 +50,16 @@
     _repeat_counter.add(event, fields)
 
 
+def log_buffers_exhausted(budget: BufferBudget, consequence: str) -> None:
+    """Log that a message exceeded the budget, and what was done with it."""
+    log_event(
+        "buffers.exhausted",
+        buffered_bytes=budget.used_bytes,
+        buffer_limit_bytes=budget.limit_bytes,
+        consequence=consequence,
+    )
+
+
 def flush() -> None:
     """Log the repeats that have been counted but not logged."""
     _repeat_counter.flush()
--- a/load_balancer/gateway/incoming_request.py
+++ b/load_balancer/gateway/incoming_request.py
@@ -27,6 +27,7 @@
     Attributes:
         received_at: Loop time of its last byte, in seconds.
         body: Its content; one object, as the parser may hand it over in tens of thousands of pieces.
+        head_size: Bytes of the head, once that is whole.
         size: Bytes of the headers until the head is whole, then of the body.
         keep_alive: Whether another request may follow on the connection.
         rejection: The error to answer it with, if it cannot be served.
@@ -37,10 +38,16 @@
     method: bytes = b""
     headers: list[Header] = field(default_factory=list)
     body: bytearray = field(default_factory=bytearray)
+    head_size: int = 0
     size: int = 0
     keep_alive: bool = True
     rejection: HttpRequestError | None = None
 
+    @property
+    def received_bytes(self) -> int:
+        """How many bytes of it have been received, without the framing of its body."""
+        return self.head_size + self.size
+
     @property
     def expects_continue(self) -> bool:
         """Whether the client waits for an interim response before it sends the body."""
@@ -89,6 +96,15 @@
         self._head_bytes: int | None = None
         self._framing_bytes = 0  # received in the body since the last part of its content
 
+    @property
+    def buffered_bytes(self) -> int:
+        """How many bytes of a request that has been received in part are kept, at most."""
+        if self.is_stopped or not self.has_partial_request:
+            return 0
+        if self._head_bytes is not None:
+            return self._head_bytes
+        return self._framing_bytes + self._request.received_bytes
+
     def feed(self, data: bytes) -> None:
         """Parse a piece of the client's bytes."""
         if len(data) <= FEED_BYTES:
@@ -157,7 +173,8 @@
     def on_headers_complete(self) -> None:
         """End the head."""
         request = self._request
-        if request.size + len(request.target) > HEAD_LIMIT:
+        request.head_size = request.size + len(request.target)
+        if request.head_size > HEAD_LIMIT:
             self.fail(HttpRequestError(431, "head too long"))
         self._head_bytes = None
         self._framing_bytes = 0
--- a/load_balancer/gateway/log_events.py
+++ b/load_balancer/gateway/log_events.py
@@ -43,6 +43,9 @@
 COMMON_FIELDS = ("repeated", "exception")
 FIELDS = {
     "address": "address of the endpoint or of discovery, as host:port",
+    "buffer_limit_bytes": "how many bytes messages may take on all connections together",
+    "buffered_bytes": "how many bytes messages that are being received, served or sent take",
+    "consequence": "what was done with the message that exceeded the limit",
     "cooldown_s": "seconds until the circuit breaker becomes half-open and admits trial requests",
     "endpoint_id": "the endpoint's number: a hash of its name, the same at every gateway",
     "entry": "the entry of the endpoint list as received, cut to 200 characters",
@@ -212,6 +215,14 @@
             "Neither an endpoint nor the balancer answered the request in time; it is answered 504.",
             REQUEST_FIELDS,
         ),
+        RegisteredEvent(
+            "buffers.exhausted",
+            WARNING,
+            "messages take {buffered_bytes} bytes, the limit is {buffer_limit_bytes}: {consequence}",
+            "The messages of all connections would take more memory than the limit on memory allows.",
+            ("buffered_bytes", "buffer_limit_bytes", "consequence"),
+            ("consequence",),
+        ),
         RegisteredEvent(
             "attempt.orphaned",
             WARNING,
--- a/load_balancer/gateway/reload.py
+++ b/load_balancer/gateway/reload.py
@@ -140,6 +140,7 @@
             log_event("config.applied", settings_version=version.number, settings_digest=digest)
         self._config = config
         self._proxy.config = config
+        self._proxy.buffers.set_memory_limit(config.memory_limit_mb)
         self._proxy.discovery.change_address(config.discovery)
 
     async def _apply_settings(self, config: Config) -> SettingsVersion:
--- a/load_balancer/gateway/request_tracker.py
+++ b/load_balancer/gateway/request_tracker.py
@@ -206,6 +206,8 @@
 
     def _close_request(self, request: PendingRequest) -> None:
         request.send_answer = None
+        # No further attempt is sent; one in flight that cannot be cancelled may still last long.
+        request.client_request = request.client_request.without_content()
         self.unanswered -= 1
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
--- a/load_balancer/gateway/reverse_proxy.py
+++ b/load_balancer/gateway/reverse_proxy.py
@@ -37,6 +37,7 @@
 from load_balancer.decisions.settings import LoadReportMode
 from load_balancer.decisions.settings_version import SettingsVersion
 from load_balancer.gateway.attempt_sender import AttemptSender
+from load_balancer.gateway.buffer_budget import BufferBudget
 from load_balancer.gateway.client_request import ClientRequest
 from load_balancer.gateway.clock import Clock
 from load_balancer.gateway.discovery import DiscoveryClient
@@ -63,6 +64,7 @@
         loop: Runs the proxy.
         clock: The clock of events and deadlines.
         balancer: Makes all decisions.
+        buffers: The budget that the messages of all connections are counted in.
         request_tracker: Tracks the pending requests.
         upstream: Connections to endpoints.
         discovery: Client of service discovery.
@@ -79,8 +81,10 @@
         self._dispatcher = EventDispatcher(
             self.balancer, self.clock, self.execute, self._decision_failed, self._action_failed
         )
+        self.buffers = BufferBudget(config.memory_limit_mb)
         self.upstream = UpstreamPool(
             loop,
+            buffers=self.buffers,
             max_connections=upstream_connection_limit(config.max_sockets),
             connect_timeout_us=settings.connect_timeout_us,
             idle_timeout_us=settings.idle_connection_timeout_us,
--- a/load_balancer/gateway/upstream_connection.py
+++ b/load_balancer/gateway/upstream_connection.py
@@ -9,6 +9,8 @@
 
 from load_balancer.config.addresses import Address
 from load_balancer.errors import LoadBalancerError
+from load_balancer.gateway.buffer_budget import BufferBudget, BufferReservation
+from load_balancer.gateway.event_log import log_buffers_exhausted
 from load_balancer.gateway.http_message import (
     BODY_LIMIT,
     HEAD_LIMIT,
@@ -30,6 +32,10 @@
 class ConnectionOwner(Protocol):
     """The pool that a connection belongs to."""
 
+    @property
+    def buffers(self) -> BufferBudget:
+        """The budget that responses are counted in."""
+
     def release(self, connection: UpstreamConnection) -> None:
         """Keep an open connection that may carry another request."""
 
@@ -57,6 +63,8 @@
         self._received_bytes = 0  # since the request was written
         self._size = 0  # bytes of the current head or, after the head, of the body
         self._body = bytearray()  # one object, as the parser may hand it over in tens of thousands of pieces
+        self._buffers = owner.buffers
+        self._reservation = BufferReservation(owner.buffers)
         self._is_complete = False
         self._keep_alive = False
         # None once closed: the parser refers to this object, and the cycle would keep both in memory.
@@ -135,7 +143,8 @@
         self._received_bytes = 0
         attempt.connection = self
         attempt.written = True  # unless pause_writing is called from within write
-        transport.write(attempt.payload)
+        payload, attempt.payload = attempt.payload, b""  # not kept while the endpoint serves the request
+        transport.write(payload)
         if transport.is_closing():  # the write failed, as the connection is broken
             attempt.written = False
 
@@ -165,6 +174,15 @@
             self._end_attempt(attempt, parser.get_status_code())
         elif self._received_bytes > RESPONSE_LIMIT:
             self.fail()
+        else:
+            self._count_buffered()
+
+    def _count_buffered(self) -> None:
+        """Count the part of a response that has been received, and drop it if there is no memory for it."""
+        self._reservation.resize(self._received_bytes)
+        if self._buffers.is_exhausted:
+            log_buffers_exhausted(self._buffers, "a response was dropped")
+            self.fail()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the attempt, if there is one."""
@@ -182,6 +200,7 @@
     def _forget_response(self) -> None:
         self._response = Response()
         self._body = bytearray()
+        self._reservation.resize(0)
 
     def _end_attempt(self, attempt: UpstreamAttempt, status: int) -> None:
         """Report the complete response, and release or close the connection."""
--- a/load_balancer/gateway/upstream_pool.py
+++ b/load_balancer/gateway/upstream_pool.py
@@ -9,6 +9,7 @@
 from load_balancer.config.addresses import Address
 from load_balancer.decisions.endpoint import EndpointStatus
 from load_balancer.decisions.events import Outcome
+from load_balancer.gateway.buffer_budget import BufferBudget
 from load_balancer.gateway.upstream_attempt import AttemptCallback, UpstreamAttempt
 from load_balancer.gateway.upstream_connection import UpstreamConnection
 
@@ -48,6 +49,7 @@
     Attributes:
         address: Where the endpoint accepts connections.
         timing: Shared by all pools.
+        buffers: The budget that responses are counted in; shared by all pools.
         open_connections: The connections to all endpoints, busy, idle or being opened; shared by all pools.
         draining: Whether the endpoint is draining or removed, so that no new request is sent to it.
         idle: Connections that carry no attempt, the most recently used one last.
@@ -55,6 +57,7 @@
 
     address: Address
     timing: ConnectionTiming
+    buffers: BufferBudget
     open_connections: set[UpstreamConnection]
     draining: bool = False
     idle: list[UpstreamConnection] = field(default_factory=list)
@@ -114,6 +117,7 @@
     Attributes:
         max_connections: How many connections may be open at once.
         timing: Timeouts of connections.
+        buffers: The budget that responses are counted in.
         endpoints: The pool of each endpoint by its id.
         connections: All connections that are open or being opened.
     """
@@ -125,8 +129,10 @@
         max_connections: int,
         connect_timeout_us: int,
         idle_timeout_us: int,
+        buffers: BufferBudget,
     ) -> None:
         self.max_connections = max_connections
+        self.buffers = buffers
         self.timing = ConnectionTiming(loop.time)
         self.endpoints: dict[EndpointId, EndpointPool] = {}
         self.connections: set[UpstreamConnection] = set()
@@ -145,7 +151,7 @@
         """Add an endpoint, or update its address and status."""
         endpoint = self.endpoints.get(endpoint_id)
         if endpoint is None:
-            endpoint = EndpointPool(address, self.timing, self.connections)
+            endpoint = EndpointPool(address, self.timing, self.buffers, self.connections)
             self.endpoints[endpoint_id] = endpoint
         if endpoint.address != address:
             endpoint.close_unused()
--- /dev/null
+++ b/tests/gateway/test_buffer_budget.py
@@ -0,0 +1,134 @@
+"""The budget of memory for the messages of all connections together."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from load_balancer.decisions.events import AttemptEnded, ClientDisconnected, Outcome, RequestArrived
+from load_balancer.gateway.buffer_budget import MIN_LIMIT_BYTES, REQUEST_SHARE, BufferBudget
+from load_balancer.gateway.http_message import BODY_LIMIT
+from tests.gateway.event_loop import runs_in_event_loop, wait_until
+from tests.gateway.http_client import encode_request
+from tests.gateway.running_gateway import RunningGateway, running_gateway
+
+SMALL_LIMITS = {"sockets": 1024, "memory_mb": 1}
+REQUEST_LIMIT_BYTES = int(MIN_LIMIT_BYTES * REQUEST_SHARE)
+# More bodies of the largest size than fit into the budget for requests.
+TOO_MANY_BODIES = REQUEST_LIMIT_BYTES // BODY_LIMIT + 4
+FULL_REQUEST = encode_request("buy", body=bytes(BODY_LIMIT))
+
+
+@pytest.mark.parametrize(("memory_mb", "limit_bytes"), [(64, 16_000_000), (0.5, MIN_LIMIT_BYTES)])
+def test_the_budget_is_a_share_of_the_memory_limit(memory_mb: float, limit_bytes: int) -> None:
+    assert BufferBudget(memory_mb).limit_bytes == limit_bytes
+
+
+async def expect_release(gateway: RunningGateway) -> None:
+    """Wait until nothing is counted any more, once every client has gone."""
+    await wait_until(lambda: not gateway.client_server.connections)
+    assert gateway.proxy.buffers.used_bytes == 0
+
+
+@runs_in_event_loop
+async def test_requests_received_in_part_are_rejected_before_they_fill_the_memory() -> None:
+    """Bodies that never end added up over all connections; the gateway was killed with all its requests.
+
+    The largest are rejected first, so that proper requests are served meanwhile.
+    """
+    async with running_gateway(limits=SMALL_LIMITS) as gateway:
+        bad_clients = [await gateway.client() for _ in range(TOO_MANY_BODIES)]
+        small_client = await gateway.client()
+        small_client.send(encode_request()[:-2])
+        for bad_client in bad_clients:
+            bad_client.send(FULL_REQUEST[:-1])
+        rejected, _ = await asyncio.wait(
+            [asyncio.create_task(client.read_response()) for client in bad_clients],
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        assert {task.result()[0] for task in rejected} == {503}
+        assert gateway.proxy.buffers.used_bytes <= REQUEST_LIMIT_BYTES
+        small_client.send(b"\r\n")
+        (await gateway.endpoint.requests.get()).respond()
+        assert (await small_client.read_response())[0] == 200
+        for client in (small_client, *bad_clients):
+            client.writer.transport.abort()
+        await expect_release(gateway)
+
+
+@runs_in_event_loop
+async def test_requests_are_rejected_while_those_being_served_fill_the_memory() -> None:
+    """Whole requests that wait for endpoints added up as well; none of those being served is dropped."""
+    async with running_gateway(limits=SMALL_LIMITS) as gateway:
+        gateway.proxy.balancer.concurrency_limit.limit = 2.0 * TOO_MANY_BODIES
+        clients = [await gateway.client() for _ in range(TOO_MANY_BODIES)]
+        statuses = [asyncio.create_task(client.request(FULL_REQUEST)) for client in clients]
+        await asyncio.wait(statuses, return_when=asyncio.FIRST_COMPLETED)
+        assert gateway.proxy.buffers.used_bytes <= REQUEST_LIMIT_BYTES + BODY_LIMIT
+        for _ in range(gateway.proxy.request_tracker.accepted):
+            (await gateway.endpoint.requests.get()).respond()
+        answers = [status for status, _, _ in await asyncio.gather(*statuses)]
+        assert answers.count(200) == gateway.proxy.request_tracker.accepted
+        assert answers.count(503) == TOO_MANY_BODIES - answers.count(200) > 0
+        await gateway.serve_request(clients[-1], FULL_REQUEST)
+        for client in clients:
+            client.writer.transport.abort()
+        await expect_release(gateway)
+
+
+@runs_in_event_loop
+async def test_a_response_without_memory_for_it_is_a_reset() -> None:
+    """Responses that never end added up over all connections to endpoints."""
+    async with running_gateway(limits=SMALL_LIMITS) as gateway:
+        client = await gateway.client()
+        client.send(encode_request("buy"))
+        received = await gateway.endpoint.requests.get()
+        gateway.proxy.buffers.limit_bytes = BODY_LIMIT // 2
+        received.respond_raw(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % BODY_LIMIT + bytes(BODY_LIMIT - 1)
+        )
+        assert (await gateway.wait_for_event(AttemptEnded)).outcome is Outcome.RESET
+        assert (await client.read_response())[0] == 502
+        client.writer.transport.abort()
+        await expect_release(gateway)
+
+
+@runs_in_event_loop
+async def test_answers_that_a_client_does_not_read_are_counted() -> None:
+    """Clients that read no answers held up to 128 KB each, which nothing bounded over all of them."""
+    async with running_gateway(limits=SMALL_LIMITS) as gateway:
+        client = await gateway.client()
+        client.send(encode_request())
+        received = await gateway.endpoint.requests.get()
+        connection = gateway.stop_reading(client)
+        received.respond(body=bytes(BODY_LIMIT))
+        await gateway.wait_for_event(AttemptEnded)
+        assert connection.transport is not None
+        unsent = connection.transport.get_write_buffer_size()
+        assert gateway.proxy.buffers.used_bytes == unsent > 0
+        client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+        await client.read_response()
+        gateway.client_server.sweep()
+        assert gateway.proxy.buffers.used_bytes == 0
+
+
+@runs_in_event_loop
+async def test_a_request_whose_client_has_gone_keeps_no_body(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Where attempts cannot be cancelled, bodies of clients that come and go added up until the time-outs."""
+    async with running_gateway() as gateway:
+        monkeypatch.setattr(gateway.proxy, "_cancel", lambda _action: None)
+        client = await gateway.client()
+        client.send(FULL_REQUEST)
+        await gateway.wait_for_event(RequestArrived)
+        received = await gateway.endpoint.requests.get()
+        client.writer.transport.abort()
+        await gateway.wait_for_event(ClientDisconnected)
+        (request,) = gateway.proxy.request_tracker.pending.values()
+        (attempt,) = request.attempts
+        assert attempt is not None
+        assert not attempt.done
+        assert (request.client_request.body, attempt.payload) == (b"", b"")
+        assert gateway.proxy.buffers.used_bytes == 0
+        received.respond()
+        assert (await gateway.wait_for_event(AttemptEnded)).outcome is Outcome.OK
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -79,7 +79,7 @@
 def test_show_prints_every_default(minimal_file: Path) -> None:
     shown = json.loads(run_command("show", minimal_file).stdout)
     assert shown["settings"]["lanes"][0]["aimUs"] == 9
-    assert shown["limits"] == {"sockets": 1024}
+    assert shown["limits"] == {"sockets": 1024, "memory_mb": 128}
     assert shown["settings"]["contract"]["mustAskInUs"] == 10_000_000
 
 
