State the time that is left when an attempt is written, not when it was decided on

Cause: AttemptSender encoded the request, with Request-Timeout-Ms, before the pool opened a connection, and the connection wrote those bytes once it was open.

The pool takes an OutgoingRequest instead of bytes, which is asked at the write whether it may still be sent and for its bytes. Nothing is kept encoded while an attempt waits for its connection or its answer.

--- a/load_balancer/gateway/attempt_sender.py
+++ b/load_balancer/gateway/attempt_sender.py
@@ -17,19 +17,34 @@
 
 @dataclass(slots=True, frozen=True)
 class SentAttempt:
-    """An attempt in flight.
+    """An attempt in flight, and what it sends: the client's request with the time that is left for it.
 
     Attributes:
         request: The request that it belongs to.
         number: Its index among the attempts of the request, from 0.
         endpoint_id: The endpoint that it is sent to.
         sent_us: Time at which it was started, in microseconds.
+        timeout_us: How long it may take from then on, in microseconds.
+        request_tracker: Knows whether the client still waits.
+        clock: The clock of these times.
     """
 
     request: PendingRequest
     number: int
     endpoint_id: EndpointId
     sent_us: int
+    timeout_us: int
+    request_tracker: RequestTracker
+    clock: Clock
+
+    def may_be_written(self) -> bool:
+        """Return whether the client still waits."""
+        return self.request_tracker.is_wanted(self.request)
+
+    def encode(self) -> bytes:
+        """Return the request's bytes; the time that it states is the time left now."""
+        waited_us = self.clock.now_us() - self.sent_us
+        return self.request.client_request.encode(max(1, self.timeout_us - waited_us))
 
 
 class AttemptSender:
@@ -64,20 +79,27 @@
         sent_us = self._clock.now_us()
         timeout_us = min(action.timeout_us, request.deadline_us - sent_us)
         is_limit_reached = number >= request.settings_version.settings.max_attempts
-        if not self._request_tracker.is_wanted(request) or timeout_us <= 0 or is_limit_reached:
+        sent = SentAttempt(
+            request,
+            number,
+            action.endpoint_id,
+            sent_us,
+            timeout_us,
+            self._request_tracker,
+            self._clock,
+        )
+        if not sent.may_be_written() or timeout_us <= 0 or is_limit_reached:
             request.attempts.append(None)
             self._dispatch(
                 AttemptEnded(request.id, number, action.endpoint_id, Outcome.NOT_SENT, 0, request.is_closed)
             )
             return
         request.attempts_in_flight += 1
-        sent = SentAttempt(request, number, action.endpoint_id, sent_us)
         attempt = self._upstream.send(
             action.endpoint_id,
-            request.client_request.encode(timeout_us),
+            sent,
             timeout_us / 1e6,
             partial(self._attempt_ended, sent),
-            partial(self._request_tracker.is_wanted, request),
         )
         request.attempts.append(attempt)
 
--- a/load_balancer/gateway/health_checks.py
+++ b/load_balancer/gateway/health_checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from load_balancer.decisions.events import Event, HealthCheckEnded, Outcome
 from load_balancer.decisions.settings import LoadReportMode, Settings
@@ -16,6 +17,25 @@
 LOAD_REPORT_PATH = b"/stats"
 
 
+@dataclass(frozen=True, slots=True)
+class HealthCheckRequest:
+    """What a health check sends.
+
+    Attributes:
+        payload: Its bytes.
+    """
+
+    payload: bytes
+
+    def may_be_written(self) -> bool:
+        """Return True, as a health check may be sent at any time."""
+        return True
+
+    def encode(self) -> bytes:
+        """Return its bytes."""
+        return self.payload
+
+
 class HealthChecker:
     """A sender of health checks that reports their outcomes to the balancer."""
 
@@ -37,4 +57,4 @@
 
         path = LOAD_REPORT_PATH if with_report else HEALTH_CHECK_PATH
         payload = b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (path, self._upstream.authority(endpoint_id))
-        self._upstream.send(endpoint_id, payload, HEALTH_CHECK_TIMEOUT_S, on_end)
+        self._upstream.send(endpoint_id, HealthCheckRequest(payload), HEALTH_CHECK_TIMEOUT_S, on_end)
--- a/load_balancer/gateway/upstream_attempt.py
+++ b/load_balancer/gateway/upstream_attempt.py
@@ -19,29 +19,36 @@
         """Close without waiting for anything."""
 
 
+class OutgoingRequest(Protocol):
+    """What an attempt sends, as of the time at which it is written."""
+
+    def may_be_written(self) -> bool:
+        """Return whether it should still be sent; checked once a new connection is open."""
+
+    def encode(self) -> bytes:
+        """Return its bytes."""
+
+
 class UpstreamAttempt:
     """A request to one endpoint, with exactly one outcome.
 
     Attributes:
-        payload: The request's bytes.
-        is_wanted: Returns whether it should still be sent; checked once a new connection is open.
+        request: What it sends; None once it has ended.
         connection: The connection that it is sent on; None before that is chosen.
         timer: Ends it when its time is up.
         written: Whether its last byte has left the process, so that it may have run.
         done: Whether its outcome is decided.
     """
 
-    __slots__ = ("_loop", "_on_end", "connection", "done", "is_wanted", "payload", "timer", "written")
+    __slots__ = ("_loop", "_on_end", "connection", "done", "request", "timer", "written")
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        payload: bytes,
+        request: OutgoingRequest,
         on_end: AttemptCallback,
-        is_wanted: Callable[[], bool],
     ) -> None:
-        self.payload = payload
-        self.is_wanted = is_wanted
+        self.request: OutgoingRequest | None = request
         self._loop = loop
         self._on_end: AttemptCallback | None = on_end
         self.connection: Abortable | None = None
@@ -69,7 +76,7 @@
         self._end_without_response(Outcome.CONNECT_FAILED if timed_out_unsent else outcome)
 
     def abandon_unless_written(self) -> None:
-        """Abandon an attempt that has not been sent; allowed even where cancelling is not."""
+        """Abandon an attempt whose last byte has not been written; allowed even where cancelling is not."""
         if not self.written:
             self.abandon(Outcome.NOT_SENT)
 
@@ -90,11 +97,6 @@
         if self.timer is not None:
             self.timer.cancel()
         on_end, self._on_end = self._on_end, None
-        self.payload = b""
+        self.request = None
         self.connection = None
-        self.is_wanted = _is_not_wanted
         return on_end
-
-
-def _is_not_wanted() -> bool:
-    return False
--- a/load_balancer/gateway/upstream_connection.py
+++ b/load_balancer/gateway/upstream_connection.py
@@ -120,15 +120,18 @@
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Write the attempt that waits for the connection, if it is still wanted."""
+        """Write the attempt that waits for the connection, if it may still be written."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transports do not inherit from it
         # At a high-water mark of 0, pause_writing and resume_writing report exactly when bytes are buffered.
         self.transport.set_write_buffer_limits(high=0)
         attempt = self.attempt
-        if attempt is None or attempt.done or not attempt.is_wanted():
+        if attempt is None or attempt.request is None:
             self.abort()
-        else:
+        elif attempt.request.may_be_written():
             self.write(attempt)
+        else:
+            attempt.abandon_unless_written()
+            self.abort()
 
     def write(self, attempt: UpstreamAttempt) -> None:
         """Send an attempt on an open connection that carries no other.
@@ -137,14 +140,13 @@
             ConnectionNotOpenError: The connection is not open yet.
         """
         transport = self.transport
-        if transport is None:
+        if transport is None or attempt.request is None:
             raise ConnectionNotOpenError("an attempt was written before its connection was open")
         self.attempt = attempt
         self._received_bytes = 0
         attempt.connection = self
         attempt.written = True  # unless pause_writing is called from within write
-        payload, attempt.payload = attempt.payload, b""  # not kept while the endpoint serves the request
-        transport.write(payload)
+        transport.write(attempt.request.encode())
         if transport.is_closing():  # the write failed, as the connection is broken
             attempt.written = False
 
--- a/load_balancer/gateway/upstream_pool.py
+++ b/load_balancer/gateway/upstream_pool.py
@@ -10,7 +10,7 @@
 from load_balancer.decisions.endpoint import EndpointStatus
 from load_balancer.decisions.events import Outcome
 from load_balancer.gateway.buffer_budget import BufferBudget
-from load_balancer.gateway.upstream_attempt import AttemptCallback, UpstreamAttempt
+from load_balancer.gateway.upstream_attempt import AttemptCallback, OutgoingRequest, UpstreamAttempt
 from load_balancer.gateway.upstream_connection import UpstreamConnection
 
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
@@ -179,21 +179,19 @@
     def send(
         self,
         endpoint_id: EndpointId,
-        payload: bytes,
+        request: OutgoingRequest,
         timeout_s: float,
         on_end: AttemptCallback,
-        is_wanted: Callable[[], bool] = lambda: True,
     ) -> UpstreamAttempt:
         """Send a request to an endpoint, on an idle connection if there is one.
 
         Args:
             endpoint_id: The endpoint to send it to.
-            payload: The request's bytes.
+            request: What to send.
             timeout_s: Timeout of the attempt, in seconds.
             on_end: Called exactly once, with the outcome and the response if there is one.
-            is_wanted: Returns whether the request should still be sent once a new connection is open.
         """
-        attempt = UpstreamAttempt(self._loop, payload, on_end, is_wanted)
+        attempt = UpstreamAttempt(self._loop, request, on_end)
         endpoint = self.endpoints.get(endpoint_id)
         if endpoint is None or endpoint.draining:
             attempt.connection_lost()
--- a/tests/gateway/test_buffer_budget.py
+++ b/tests/gateway/test_buffer_budget.py
@@ -128,7 +128,7 @@
         (attempt,) = request.attempts
         assert attempt is not None
         assert not attempt.done
-        assert (request.client_request.body, attempt.payload) == (b"", b"")
+        assert request.client_request.body == b""
         assert gateway.proxy.buffers.used_bytes == 0
         received.respond()
         assert (await gateway.wait_for_event(AttemptEnded)).outcome is Outcome.OK
--- a/tests/gateway/test_upstream_pool.py
+++ b/tests/gateway/test_upstream_pool.py
@@ -11,6 +11,7 @@
 from load_balancer.decisions.events import AttemptEnded, EndpointListReceived, Outcome, RequestArrived
 from load_balancer.gateway import upstream_pool
 from load_balancer.gateway.discovery_messages import endpoint_id_of
+from load_balancer.gateway.health_checks import HealthCheckRequest
 from load_balancer.gateway.http_message import Response
 from tests.gateway.configurations import settings
 from tests.gateway.event_loop import runs_in_event_loop, wait_until
@@ -122,7 +123,10 @@
         with socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno())) as duplicate:
             duplicate.send(unread_input) if unread_input else duplicate.shutdown(socket.SHUT_RDWR)
         gateway.proxy.upstream.send(
-            endpoint_id_of("h0"), encode_request(), 20.0, lambda _, response: responses.append(response)
+            endpoint_id_of("h0"),
+            HealthCheckRequest(encode_request()),
+            20.0,
+            lambda _, response: responses.append(response),
         )
         assert idle not in gateway.proxy.upstream.connections
         (await gateway.endpoint.requests.get()).respond(body=b"its own")
