Do not write a repeat after its deduplication window, however late its connection

Cause: Subset.select_for_retry compares the window with the time of the decision; the Send that follows did not say until when it holds, and UpstreamConnection wrote it whenever the connection opened, if only the client was still there. In the record the gateway does nothing for the request between the 500 at 0.509 s and the write at 1.620 s, so no other attempt is at fault.

Send.write_by_us states the end of the window. The gateway checks it at the write, also on an idle connection, and a timer abandons an attempt of which a byte is still unwritten then, as NOT_SENT; the balancer finds the window over and answers. The same limit holds for a first attempt that may be hedged: while it waits, the hedged request may run and fail.

--- a/load_balancer/decisions/actions.py
+++ b/load_balancer/decisions/actions.py
@@ -13,11 +13,14 @@
         request_id: The request to send.
         endpoint_id: The endpoint to send it to.
         timeout_us: How long to wait for the answer, in microseconds; at least 1.
+        write_by_us: Time by which the request's last byte has to be written, or else the attempt is not sent:
+            later it could take effect a second time. None if any time until the timeout is safe.
     """
 
     request_id: str
     endpoint_id: int
     timeout_us: int
+    write_by_us: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/load_balancer/decisions/dispatcher.py
+++ b/load_balancer/decisions/dispatcher.py
@@ -11,6 +11,7 @@
 from load_balancer.decisions.latency import OVERDUE_LATENCY_FACTOR
 from load_balancer.decisions.picker import Picker
 from load_balancer.decisions.request import Request
+from load_balancer.decisions.retries import write_deadline_us
 from load_balancer.decisions.slow_start import charge, overload_budget_us
 from load_balancer.decisions.subset import Subset
 
@@ -70,6 +71,7 @@
             endpoint_breaker.acquire_trial() if endpoint_breaker else 0,
             class_breaker.acquire_trial() if class_breaker else 0,
         )
+        write_by_us = write_deadline_us(request, now_us)
         attempt = Attempt(endpoint, now_us, trial_periods)
         request.attempts.append(attempt)
         request.in_flight += 1
@@ -78,7 +80,7 @@
         self.subset.resize(self._limit.in_flight)
         charge(endpoint, request, now_us, self._context.settings)
         timeout_us = max(1, request.wait_until_us(now_us) - now_us)
-        self._actions.append(Send(request.id, endpoint.endpoint.id, timeout_us))
+        self._actions.append(Send(request.id, endpoint.endpoint.id, timeout_us, write_by_us))
         return True
 
     def cancel(self, request: Request, kept_attempt: int | None = None) -> None:
--- a/load_balancer/decisions/events.py
+++ b/load_balancer/decisions/events.py
@@ -25,7 +25,7 @@
         CONNECT_FAILED: No connection could be established; the request was not executed.
         RESET: The connection broke with the attempt in flight; the request may have been executed.
         CANCELLED: It was cancelled; the request may have been executed.
-        NOT_SENT: It was abandoned before a byte was written; the request was not executed.
+        NOT_SENT: It was abandoned before its last byte was written; the request was not executed.
     """
 
     OK = "ok"
--- a/load_balancer/decisions/request.py
+++ b/load_balancer/decisions/request.py
@@ -87,6 +87,14 @@
         """Whether any attempt may have been executed."""
         return any(attempt.may_have_run for attempt in self.attempts)
 
+    @property
+    def deduplicated_until_us(self) -> int | None:
+        """Time until which a repeat is dropped by its idempotency key; None if no attempt may have run."""
+        for attempt in self.attempts:
+            if attempt.may_have_run:
+                return attempt.sent_us + self.request_class.definition.deduplication_window_us
+        return None
+
     def wait_until_us(self, now_us: int) -> int:
         """Return the time until which the answer to an attempt sent now is still of use to the client."""
         if self.request_class.definition.late_weight_share > 0.0:
--- a/load_balancer/decisions/retries.py
+++ b/load_balancer/decisions/retries.py
@@ -36,6 +36,21 @@
     )
 
 
+def write_deadline_us(request: Request, now_us: int) -> int | None:
+    """Return the time by which an attempt that is sent now has to be written; None if it has no limit.
+
+    An attempt may wait long for its connection. Where attempts may be hedged, another one can be sent and run
+    meanwhile, so that the first has the same limit as one that is sent after it.
+    """
+    definition = request.request_class.definition
+    if definition.idempotency is not Idempotency.IDEMPOTENCY_KEY:
+        return None
+    deduplicated_until_us = request.deduplicated_until_us
+    if deduplicated_until_us is None and request.settings_version.settings.may_hedge:
+        return now_us + definition.deduplication_window_us
+    return deduplicated_until_us
+
+
 def may_reject(request: Request) -> bool:
     """Return whether the request may be rejected, which promises its client that a retry is safe."""
     definition = request.request_class.definition
--- a/load_balancer/decisions/subset.py
+++ b/load_balancer/decisions/subset.py
@@ -124,7 +124,8 @@
             return [endpoint for endpoint in selected if endpoint not in tried]
         if definition.idempotency is Idempotency.NON_IDEMPOTENT:
             return []
-        if now_us - possibly_executed[0].sent_us >= definition.deduplication_window_us:
+        deduplicated_until_us = request.deduplicated_until_us
+        if deduplicated_until_us is not None and now_us >= deduplicated_until_us:
             return []
         # The subset may contain no endpoint of the deduplication scope, so all endpoints are searched.
         scopes = {
--- a/load_balancer/gateway/attempt_sender.py
+++ b/load_balancer/gateway/attempt_sender.py
@@ -25,6 +25,7 @@
         endpoint_id: The endpoint that it is sent to.
         sent_us: Time at which it was started, in microseconds.
         timeout_us: How long it may take from then on, in microseconds.
+        write_by_us: Time by which it has to be written, as in `Send`.
         request_tracker: Knows whether the client still waits.
         clock: The clock of these times.
     """
@@ -34,11 +35,14 @@
     endpoint_id: EndpointId
     sent_us: int
     timeout_us: int
+    write_by_us: int | None
     request_tracker: RequestTracker
     clock: Clock
 
     def may_be_written(self) -> bool:
-        """Return whether the client still waits."""
+        """Return whether the client still waits and the request cannot take effect a second time."""
+        if self.write_by_us is not None and self.clock.now_us() >= self.write_by_us:
+            return False
         return self.request_tracker.is_wanted(self.request)
 
     def encode(self) -> bytes:
@@ -72,8 +76,8 @@
     def send(self, request: PendingRequest, action: Send) -> None:
         """Start an attempt, or report it as not sent.
 
-        It is not sent if the request has been answered, its client has disconnected, its deadline has passed
-        or it has had as many attempts as the settings allow.
+        It is not sent if the request has been answered, its client has disconnected, its deadline or the time
+        by which it has to be written has passed, or it has had as many attempts as the settings allow.
         """
         number = len(request.attempts)
         sent_us = self._clock.now_us()
@@ -85,6 +89,7 @@
             action.endpoint_id,
             sent_us,
             timeout_us,
+            action.write_by_us,
             self._request_tracker,
             self._clock,
         )
@@ -95,11 +100,13 @@
             )
             return
         request.attempts_in_flight += 1
+        write_by_us = action.write_by_us
         attempt = self._upstream.send(
             action.endpoint_id,
             sent,
             timeout_us / 1e6,
             partial(self._attempt_ended, sent),
+            None if write_by_us is None else (write_by_us - sent_us) / 1e6,
         )
         request.attempts.append(attempt)
 
--- a/load_balancer/gateway/upstream_attempt.py
+++ b/load_balancer/gateway/upstream_attempt.py
@@ -36,11 +36,12 @@
         request: What it sends; None once it has ended.
         connection: The connection that it is sent on; None before that is chosen.
         timer: Ends it when its time is up.
+        write_timer: Ends it at the time by which it has to be written, unless it is.
         written: Whether its last byte has left the process, so that it may have run.
         done: Whether its outcome is decided.
     """
 
-    __slots__ = ("_loop", "_on_end", "connection", "done", "request", "timer", "written")
+    __slots__ = ("_loop", "_on_end", "connection", "done", "request", "timer", "write_timer", "written")
 
     def __init__(
         self,
@@ -53,6 +54,7 @@
         self._on_end: AttemptCallback | None = on_end
         self.connection: Abortable | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.write_timer: asyncio.TimerHandle | None = None
         self.written = False
         self.done = False
 
@@ -94,8 +96,9 @@
         memory until a garbage collection.
         """
         self.done = True
-        if self.timer is not None:
-            self.timer.cancel()
+        for timer in (self.timer, self.write_timer):
+            if timer is not None:
+                timer.cancel()
         on_end, self._on_end = self._on_end, None
         self.request = None
         self.connection = None
--- a/load_balancer/gateway/upstream_pool.py
+++ b/load_balancer/gateway/upstream_pool.py
@@ -182,6 +182,7 @@
         request: OutgoingRequest,
         timeout_s: float,
         on_end: AttemptCallback,
+        write_timeout_s: float | None = None,
     ) -> UpstreamAttempt:
         """Send a request to an endpoint, on an idle connection if there is one.
 
@@ -190,6 +191,8 @@
             request: What to send.
             timeout_s: Timeout of the attempt, in seconds.
             on_end: Called exactly once, with the outcome and the response if there is one.
+            write_timeout_s: Time in seconds in which all of it has to be written, or else it is not sent;
+                None for no limit but the timeout.
         """
         attempt = UpstreamAttempt(self._loop, request, on_end)
         endpoint = self.endpoints.get(endpoint_id)
@@ -197,6 +200,8 @@
             attempt.connection_lost()
             return attempt
         attempt.timer = self._loop.call_later(timeout_s, attempt.abandon, Outcome.TIMEOUT)
+        if write_timeout_s is not None:
+            attempt.write_timer = self._loop.call_later(write_timeout_s, attempt.abandon_unless_written)
         connection = endpoint.acquire_idle()
         if connection is not None:
             connection.write(attempt)
--- a/tests/decisions/test_retries.py
+++ b/tests/decisions/test_retries.py
@@ -45,6 +45,30 @@
     ]
 
 
+def test_a_retry_with_an_idempotency_key_has_to_be_written_within_its_window() -> None:
+    """Only the decision was made within the window; written later, the request took effect twice."""
+    driver = Driver(replace(SETTINGS, may_hedge=False), endpoints=6)
+    window_ends_us = driver.now_us + WITH_IDEMPOTENCY_KEY.deduplication_window_us
+    request_id, actions = driver.start_request(request_class=1)
+    (first,) = sends(actions)
+    driver.now_us += 1_000
+    (second,) = sends(driver.end_attempt(request_id, first.endpoint_id, Outcome.CONNECT_FAILED))
+    (third,) = sends(driver.end_attempt(request_id, second.endpoint_id, Outcome.RESET, attempt=1))
+    assert first.write_by_us is None  # nothing can have run before
+    assert second.write_by_us is None
+    assert third.write_by_us == window_ends_us + 1_000
+
+
+@pytest.mark.parametrize(("request_class", "is_limited"), [(0, False), (1, True), (2, False)])
+def test_a_first_attempt_that_may_be_hedged_has_to_be_written_within_the_window(
+    driver: Driver, request_class: int, is_limited: bool
+) -> None:
+    """While it waits for its connection, the hedged request may run and fail, and it would run again."""
+    (first,) = sends(driver.start_request(request_class=request_class)[1])
+    window_ends_us = driver.now_us + WITH_IDEMPOTENCY_KEY.deduplication_window_us
+    assert first.write_by_us == (window_ends_us if is_limited else None)
+
+
 def test_a_request_whose_key_is_deduplicated_everywhere_may_be_rejected() -> None:
     deduplicated_everywhere = replace(WITH_IDEMPOTENCY_KEY, deduplication_scope=DeduplicationScope.ALL)
     driver = Driver(replace(SETTINGS, classes=(deduplicated_everywhere,), max_attempts=1))
