Free a call to discovery when it ends, and pass its parameters as one object

The test fails without the change: the closed watch stays.

WatchCall and PollCall repeated a constructor of five parameters; they take CallParameters now. One behaviour is stricter: a call that has been closed parses nothing further.

--- a/load_balancer/gateway/discovery.py
+++ b/load_balancer/gateway/discovery.py
@@ -10,7 +10,7 @@
 from load_balancer.config.addresses import Address
 from load_balancer.config.gateway_config import NameTable
 from load_balancer.decisions.endpoint import EndpointStatus, ListKind
-from load_balancer.gateway.discovery_call import DiscoveryCall, PollCall, WatchCall
+from load_balancer.gateway.discovery_call import CallParameters, DiscoveryCall, PollCall, WatchCall
 from load_balancer.gateway.discovery_messages import (
     DiscoveredEndpoint,
     DiscoveryFormatError,
@@ -93,14 +93,14 @@
             self.current_watch = None
         if self.current_watch is None and active:
             target = f"{ENDPOINTS_PATH}?stream=1&index={self._index}"
-            self.current_watch = WatchCall(
-                self._loop, self._address, target, self._on_message, self.on_call_failed
-            )
+            self.current_watch = WatchCall(self._call_parameters(target))
 
     def poll(self) -> None:
         """Read the complete list once."""
-        call = PollCall(self._loop, self._address, ENDPOINTS_PATH, self._on_message, self.on_call_failed)
-        self._polls.add(call)
+        self._polls.add(PollCall(self._call_parameters(ENDPOINTS_PATH)))
+
+    def _call_parameters(self, target: str) -> CallParameters:
+        return CallParameters(self._loop, self._address, target, self._on_message, self.on_call_failed)
 
     def change_address(self, address: Address) -> None:
         """Repeat the open watch and polls at another address, at once.
--- a/load_balancer/gateway/discovery_call.py
+++ b/load_balancer/gateway/discovery_call.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import cast
 
 import httptools
@@ -21,42 +22,49 @@
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 
 
-class DiscoveryCall(asyncio.Protocol):
-    """One GET request to discovery; subclasses read the body of its response.
+@dataclass(frozen=True, slots=True)
+class CallParameters:
+    """What a call requests, and who is told of its result.
 
-    Args:
+    Attributes:
         loop: The loop on which the call runs.
         address: Where discovery accepts connections.
         target: Path and query of the request.
         on_message: Called with the text of one message; returns whether it could be read.
         on_failure: Called at most once, when the call has failed or the message of a poll could not be read.
+    """
+
+    loop: asyncio.AbstractEventLoop
+    address: Address
+    target: str
+    on_message: Callable[[bytes], bool]
+    on_failure: Callable[[DiscoveryCall], None]
+
+
+class DiscoveryCall(asyncio.Protocol):
+    """One GET request to discovery; subclasses read the body of its response.
 
     Attributes:
         is_closed: Whether the call is over and reports nothing more.
     """
 
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        address: Address,
-        target: str,
-        on_message: Callable[[bytes], bool],
-        on_failure: Callable[[DiscoveryCall], None],
-    ) -> None:
+    def __init__(self, parameters: CallParameters) -> None:
         self.is_closed = False
-        self._loop = loop
-        self._address = address
-        self._target = target
-        self._on_message = on_message
-        self._on_failure = on_failure
-        self._parser = httptools.HttpResponseParser(self)
+        self._loop = parameters.loop
+        self._address = parameters.address
+        self._target = parameters.target
+        self._on_message = parameters.on_message
+        self._on_failure = parameters.on_failure
+        # None once closed: the parser refers to this object, and the cycle would keep both in memory.
+        self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._inactivity_timer: asyncio.TimerHandle | None = None
-        self._connect_task = loop.create_task(self._connect())
+        self._connect_task = self._loop.create_task(self._connect())
 
     def close(self) -> None:
         """End the call without reporting a failure."""
         self.is_closed = True
+        self._parser = None
         if self._inactivity_timer is not None:
             self._inactivity_timer.cancel()
         if self._transport is not None:
@@ -97,8 +105,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a piece of the response."""
+        parser = self._parser
+        if parser is None:
+            return
         try:
-            self._parser.feed_data(data)
+            parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(f"malformed response: {error}")
 
@@ -111,10 +122,12 @@
 
     def on_headers_complete(self) -> None:
         """Accept a response of status 200 only."""
+        if self._parser is None:
+            return
         status = self._parser.get_status_code()
         if status != 200:
             self._fail(f"response status {status}")
-        elif not self.is_closed:
+        else:
             self._restart_inactivity_timer()
 
     def on_body(self, body: bytes) -> None:
@@ -141,15 +154,8 @@
 class WatchCall(DiscoveryCall):
     """A call whose response is a stream of messages; the end of the stream is a failure."""
 
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        address: Address,
-        target: str,
-        on_message: Callable[[bytes], bool],
-        on_failure: Callable[[DiscoveryCall], None],
-    ) -> None:
-        super().__init__(loop, address, target, on_message, on_failure)
+    def __init__(self, parameters: CallParameters) -> None:
+        super().__init__(parameters)
         self._splitter = JsonStreamSplitter()
 
     def _read_body(self, body: bytes) -> int:
@@ -170,15 +176,8 @@
 class PollCall(DiscoveryCall):
     """A call whose response is one message, read when it is complete."""
 
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        address: Address,
-        target: str,
-        on_message: Callable[[bytes], bool],
-        on_failure: Callable[[DiscoveryCall], None],
-    ) -> None:
-        super().__init__(loop, address, target, on_message, on_failure)
+    def __init__(self, parameters: CallParameters) -> None:
+        super().__init__(parameters)
         self._body = bytearray()
 
     def _read_body(self, body: bytes) -> int:
--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -1,8 +1,10 @@
-"""Runs coroutine tests on the event loop that the gateway uses."""
+"""Runs coroutine tests on the event loop that the gateway uses, and fixtures of several modules."""
 
 from __future__ import annotations
 
+import gc
 import inspect
+from collections.abc import Iterator
 
 import pytest
 
@@ -17,3 +19,11 @@
     names = inspect.signature(pyfuncitem.obj).parameters
     run_in_event_loop(pyfuncitem.obj(**{name: pyfuncitem.funcargs[name] for name in names}))
     return True
+
+
+@pytest.fixture
+def no_garbage_collection() -> Iterator[None]:
+    """Free objects only when nothing refers to them any more."""
+    gc.disable()
+    yield
+    gc.enable()
--- a/tests/gateway/test_buffered_memory.py
+++ b/tests/gateway/test_buffered_memory.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import tracemalloc
 import weakref
 from collections.abc import Iterator
@@ -66,13 +65,6 @@
     tracemalloc.stop()
 
 
-@pytest.fixture
-def _no_garbage_collection() -> Iterator[None]:
-    gc.disable()
-    yield
-    gc.enable()
-
-
 def feed(reader: RequestReader, data: bytes) -> None:
     """Feed a reader in pieces of `READ_BYTES`, as long as it reads."""
     for start in range(0, len(data), READ_BYTES):
@@ -157,7 +149,7 @@
         assert memory.used() < BODY_LIMIT
 
 
-@pytest.mark.usefixtures("_no_garbage_collection")
+@pytest.mark.usefixtures("no_garbage_collection")
 def test_a_stopped_reader_is_freed_without_garbage_collection() -> None:
     """Parser and reader refer to each other; closed connections stayed in memory until a collection."""
     reader = RequestReader(RequestRecorder(), lambda: 0.0)
@@ -167,7 +159,7 @@
     assert reference() is None
 
 
-@pytest.mark.usefixtures("_no_garbage_collection")
+@pytest.mark.usefixtures("no_garbage_collection")
 @runs_in_event_loop
 async def test_a_closed_upstream_connection_is_freed_without_garbage_collection() -> None:
     """Parser and connection refer to each other, as on the side of the clients."""
--- a/tests/gateway/test_discovery_call.py
+++ b/tests/gateway/test_discovery_call.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import weakref
+
 import pytest
 
 from load_balancer.decisions.actions import PollEndpoints
 from load_balancer.decisions.endpoint import ListKind
 from load_balancer.gateway import discovery_call
 from tests.gateway.discovery_helpers import gateway_with_watch, next_list
+from tests.gateway.event_loop import wait_until
 from tests.gateway.running_gateway import running_gateway
 from tests.gateway.stub_discovery import encode_chunk, endpoint_entry, watch_event
 
@@ -75,3 +78,13 @@
         gateway.discovery.complete_list = b"no list"
         gateway.proxy.execute(PollEndpoints())
         assert await next_list(gateway) == (ListKind.ERROR, [])
+
+
+@pytest.mark.usefixtures("no_garbage_collection")
+async def test_a_call_that_has_ended_is_freed_without_garbage_collection() -> None:
+    """Parser and call refer to each other, so that each complete list stayed in memory until a collection."""
+    async with gateway_with_watch() as (gateway, _):
+        assert gateway.proxy.discovery.current_watch is not None
+        reference = weakref.ref(gateway.proxy.discovery.current_watch)
+        gateway.proxy.discovery.set_subscribed(False)
+        await wait_until(lambda: reference() is None)
