--- a/load_balancer/gateway/attempt_sender.py
+++ b/load_balancer/gateway/attempt_sender.py
@@ -15,7 +15,7 @@
 from load_balancer.gateway.upstream_pool import EndpointId, UpstreamPool
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class SentAttempt:
     """An attempt in flight, and what it sends: the client's request with the time that is left for it.
 
--- a/load_balancer/gateway/client_connection.py
+++ b/load_balancer/gateway/client_connection.py
@@ -170,14 +170,15 @@
 
     def count_buffered(self) -> None:
         """Count the bytes of requests without an answer and of answers that have not left the process."""
-        size = self.reader.buffered_bytes
+        size = self.reader.buffered_bytes if self.reader.has_partial_request else 0
         if self.current is not None:
             size += self.current.received_bytes
         for request in self.waiting:
             size += request.received_bytes
         if self.transport is not None and not self.transport.is_closing():
             size += self.transport.get_write_buffer_size()
-        self.reservation.resize(size)
+        if size != self.reservation.size:
+            self.reservation.resize(size)
 
     # RequestListener
 
--- a/load_balancer/gateway/incoming_request.py
+++ b/load_balancer/gateway/incoming_request.py
@@ -151,7 +151,6 @@
 
     def on_message_begin(self) -> None:
         """Begin a request."""
-        self._request = IncomingRequest()
         self.has_partial_request = True
         if self.has_read_request:
             self.began_at = self._now()
--- a/load_balancer/gateway/upstream_connection.py
+++ b/load_balancer/gateway/upstream_connection.py
@@ -202,7 +202,8 @@
     def _forget_response(self) -> None:
         self._response = Response()
         self._body = bytearray()
-        self._reservation.resize(0)
+        if self._reservation.size:
+            self._reservation.resize(0)
 
     def _end_attempt(self, attempt: UpstreamAttempt, status: int) -> None:
         """Report the complete response, and release or close the connection."""
@@ -224,7 +225,8 @@
         """Begin a response."""
         if self._is_complete:
             raise HttpResponseError("a second response to one request")
-        self._forget_response()
+        if self._response.headers or self._body:  # of an interim response
+            self._forget_response()
         self._size = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
