Name the owners of connections by their side, and share a test's endpoint that stops reading

ConnectionOwner named two protocols, the server of a client's connection and the pool of one to an endpoint. Two tests set up an endpoint that stops reading by the same lines; the steps stand in RunningGateway now. The tests of write deadlines stop the gateway's clock, so that it is certainly the timer that ends an attempt, and the one of a partial write checks that a part of the request was left in the transport.

--- a/load_balancer/gateway/client_connection.py
+++ b/load_balancer/gateway/client_connection.py
@@ -23,7 +23,7 @@
 TOO_MANY_CONNECTIONS = text_response(503, "too many connections")
 
 
-class ConnectionOwner(Protocol):
+class ClientConnectionOwner(Protocol):
     """The server that a connection belongs to.
 
     Attributes:
@@ -66,7 +66,7 @@
         reservation: What its requests and unsent answers take of the budget for messages.
     """
 
-    def __init__(self, owner: ConnectionOwner) -> None:
+    def __init__(self, owner: ClientConnectionOwner) -> None:
         self.reader = RequestReader(self, owner.loop.time)
         self.transport: asyncio.Transport | None = None
         self.waiting: deque[IncomingRequest] = deque()
--- a/load_balancer/gateway/upstream_connection.py
+++ b/load_balancer/gateway/upstream_connection.py
@@ -29,7 +29,7 @@
     """An attempt was written to a connection that is still being opened."""
 
 
-class ConnectionOwner(Protocol):
+class UpstreamConnectionOwner(Protocol):
     """The pool that a connection belongs to."""
 
     @property
@@ -53,7 +53,7 @@
         idle_since: Loop time of the end of its last attempt, in seconds.
     """
 
-    def __init__(self, owner: ConnectionOwner, attempt: UpstreamAttempt) -> None:
+    def __init__(self, owner: UpstreamConnectionOwner, attempt: UpstreamAttempt) -> None:
         self.owner = owner
         self.attempt: UpstreamAttempt | None = attempt
         self.transport: asyncio.Transport | None = None
--- a/tests/gateway/running_gateway.py
+++ b/tests/gateway/running_gateway.py
@@ -69,12 +69,22 @@
     def stop_reading(self, client: HttpClient) -> ClientConnection:
         """Stop reading at the client and shrink the gateway's send buffer; returns its connection there."""
         (connection,) = self.client_server.connections
-        assert connection.transport is not None
-        gateway_socket = connection.transport.get_extra_info("socket")
-        gateway_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        shrink_send_buffer(connection.transport)
         client.writer.transport.pause_reading()  # type: ignore[attr-defined]
         return connection
 
+    async def connect_endpoint_that_stops_reading(self, client: HttpClient) -> asyncio.Transport:
+        """Open a connection to the endpoint, which then stops reading; returns the gateway's transport of it.
+
+        Its send buffer is small, so that most of a large request stays in the transport.
+        """
+        await self.serve_request(client)
+        (connection,) = self.proxy.upstream.connections
+        (writer,) = self.endpoint.writers
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        self.events.clear()
+        return shrink_send_buffer(connection.transport)
+
     async def client(self) -> HttpClient:
         """Connect a client with a small receive buffer."""
         assert self.client_server.listener is not None
@@ -85,6 +95,13 @@
         return HttpClient(*await asyncio.open_connection(sock=client_socket))
 
 
+def shrink_send_buffer(transport: asyncio.Transport | None) -> asyncio.Transport:
+    """Shrink the send buffer of an open connection's socket."""
+    assert transport is not None
+    transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    return transport
+
+
 @asynccontextmanager
 async def running_gateway(
     endpoint_count: int = 1, reuse_delay_s: float = 0.0, **overrides: Any
--- a/tests/gateway/test_attempts.py
+++ b/tests/gateway/test_attempts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 
 import pytest
 
@@ -94,17 +93,11 @@
     """
     async with running_gateway() as gateway:
         client = await gateway.client()
-        await gateway.serve_request(client)
-        (connection,) = gateway.proxy.upstream.connections
-        assert connection.transport is not None
-        # As the endpoint does not read and the send buffer is small, most of the body stays in the transport.
-        connection.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        (writer,) = gateway.endpoint.writers
-        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        transport = await gateway.connect_endpoint_that_stops_reading(client)
         client.send(encode_request("buy", body=bytes(BODY_LIMIT)))
-        await gateway.wait_for_event(RequestArrived, lambda e: e.request_class == 2)
-        assert connection.transport.get_write_buffer_size() > 0
-        writer.transport.abort()
+        await gateway.wait_for_event(RequestArrived)
+        assert transport.get_write_buffer_size() > 0
+        gateway.endpoint.writers[0].transport.abort()
         assert (
             await gateway.wait_for_event(AttemptEnded, lambda e: e.request_id == "2")
         ).outcome is Outcome.CONNECT_FAILED
--- a/tests/gateway/test_write_deadlines.py
+++ b/tests/gateway/test_write_deadlines.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Callable
 
 import pytest
@@ -18,7 +17,7 @@
 from tests.gateway.scripted_balancer import replace_decisions
 
 WINDOW_US = 60_000_000  # of the class `pay` in the test configuration
-SHORT_US = 1_000
+SHORT_US = 20_000
 # The client's timeout is longer than the window, so that only the window has passed.
 PAYMENT = encode_request("pay", Request_Timeout_Ms="100000")
 
@@ -29,6 +28,12 @@
     monkeypatch.setattr(gateway.proxy.clock, "now_us", lambda: now_us() + by_us)
 
 
+def stop_clock(gateway: RunningGateway, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Stop the gateway's clock, so that only a timer of its event loop can end an attempt."""
+    now_us = gateway.proxy.clock.now_us()
+    monkeypatch.setattr(gateway.proxy.clock, "now_us", lambda: now_us)
+
+
 def send_within(gateway: RunningGateway, write_within_us: int) -> Callable[[Event], list[Action]]:
     """Return decisions that send each request once, to be written within a time."""
 
@@ -65,6 +70,7 @@
     """Its client need not wait until the connection is open to learn that nothing more is sent."""
     async with running_gateway() as gateway:
         pause_endpoint_connects(gateway, monkeypatch)
+        stop_clock(gateway, monkeypatch)
         replace_decisions(gateway, send_within(gateway, SHORT_US))
         client = await gateway.client()
         client.send(PAYMENT)
@@ -73,19 +79,18 @@
 
 
 @runs_in_event_loop
-async def test_a_repeat_written_in_part_is_abandoned_at_the_end_of_its_window() -> None:
+async def test_a_repeat_written_in_part_is_abandoned_at_the_end_of_its_window(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """An endpoint that does not read would get the last byte, and run the request, after the window."""
     async with running_gateway() as gateway:
         client = await gateway.client()
-        await gateway.serve_request(client)
-        (connection,) = gateway.proxy.upstream.connections
-        assert connection.transport is not None
-        connection.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-        (writer,) = gateway.endpoint.writers
-        writer.transport.pause_reading()  # type: ignore[attr-defined]
-        gateway.events.clear()
+        transport = await gateway.connect_endpoint_that_stops_reading(client)
+        stop_clock(gateway, monkeypatch)
         replace_decisions(gateway, send_within(gateway, SHORT_US))
         client.send(encode_request("pay", body=bytes(BODY_LIMIT)))
+        await gateway.wait_for_event(RequestArrived)
+        assert transport.get_write_buffer_size() > 0
         assert (await gateway.wait_for_event(AttemptEnded)).outcome is Outcome.NOT_SENT
         assert not gateway.proxy.upstream.connections
 
