--- a/tests/transcript_simulation/wire.py
+++ b/tests/transcript_simulation/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any, Protocol
 
 LOG_PREFIX = "journal_line "  # the start of a log line on the wire
@@ -9,6 +10,8 @@
 SECOND_US = 1_000_000
 
 Json = dict[str, Any]
+EventHandler = Callable[..., None]
+"""Gives the balancer one event, as its wire lines, and applies the actions that it returns."""
 
 
 class WireBalancer(Protocol):
