Close connections of answers that stay unread before all requests are rejected

With the budget for messages, clients that do not read their answers could use up half of it, 62 connections with 64 KB each at a memory limit of 32 MB, and every request was rejected until they went: nothing freed those answers.

Cause: reclaim_buffers freed requests received in part only. Where these are not enough, it closes the connection with the largest answer that its client has left unread for 3 s, the time that a shutdown waits for such a client too.

The test fails without the change: a request is answered 503 although 64 KB have been unread for 3 s. An answer that has been unread for a shorter time is kept, and the request is rejected as before.

--- a/load_balancer/gateway/client_connection.py
+++ b/load_balancer/gateway/client_connection.py
@@ -45,7 +45,7 @@
         """Remove a connection that is closed."""
 
     def reclaim_buffers(self) -> None:
-        """Reject requests received in part until the other requests may be served."""
+        """Free memory until requests may be served, as far as that is possible."""
 
 
 class ClientConnection(asyncio.Protocol):
@@ -104,6 +104,11 @@
         """Whether a request has been received in part that may still be rejected to free its memory."""
         return self.has_only_partial_request and not self.reader.is_stopped
 
+    def has_unread_answer(self, since: float) -> bool:
+        """Return whether its client has not read an answer that was written before a loop time."""
+        has_unserved_request = self.current is not None or bool(self.waiting) or self.is_reclaimable
+        return self.reservation.size > 0 and not has_unserved_request and self.last_activity <= since
+
     @property
     def _has_nothing_to_answer(self) -> bool:
         return self.current is None and not self.waiting and not self.is_lingering
@@ -274,6 +279,7 @@
         """Close at once."""
         if self.transport is not None:
             self.transport.abort()
+            self.count_buffered()
 
     def _begin_lingering_close(self) -> None:
         self.reader.stop()
--- a/load_balancer/gateway/client_server.py
+++ b/load_balancer/gateway/client_server.py
@@ -39,7 +39,7 @@
 REQUEST_GRACE_S = 0.6
 # How long it then waits for the rest of a request that has been received in part.
 PARTIAL_REQUEST_GRACE_S = 0.1
-# How long it then waits for a client to read the answers sent to it.
+# How long it then waits for a client to read the answers sent to it. It waits as long where memory runs out.
 UNREAD_ANSWER_GRACE_S = 3.0
 SHUTDOWN_POLL_S = 0.01
 
@@ -122,15 +122,31 @@
     # Memory
 
     def reclaim_buffers(self) -> None:
-        """Reject requests received in part, the largest first, until others may be served."""
-        buffers = self.proxy.buffers
-        while buffers.is_exhausted_for_requests:
-            reclaimable = [each for each in self.connections if each.is_reclaimable]
-            if not reclaimable:
+        """Free memory until requests may be served: first that of the largest requests received in part.
+
+        If that is not enough, connections are closed whose clients do not read their answers.
+        """
+        while self.proxy.buffers.is_exhausted_for_requests:
+            if not (self._reject_largest_partial_request() or self._close_largest_unread_answer()):
                 return
-            log_buffers_exhausted(buffers, "a request received in part was rejected")
-            largest = max(reclaimable, key=lambda each: (each.reservation.size, -each.reader.began_at))
-            largest.reject_partial_request(HttpRequestError(503, "too many bytes buffered"))
+
+    def _reject_largest_partial_request(self) -> bool:
+        reclaimable = [each for each in self.connections if each.is_reclaimable]
+        if not reclaimable:
+            return False
+        log_buffers_exhausted(self.proxy.buffers, "a request received in part was rejected")
+        largest = max(reclaimable, key=lambda each: (each.reservation.size, -each.reader.began_at))
+        largest.reject_partial_request(HttpRequestError(503, "too many bytes buffered"))
+        return True
+
+    def _close_largest_unread_answer(self) -> bool:
+        since = self.loop.time() - UNREAD_ANSWER_GRACE_S
+        unread = [each for each in self.connections if each.has_unread_answer(since)]
+        if not unread:
+            return False
+        log_buffers_exhausted(self.proxy.buffers, "the connection of an answer that is not read was closed")
+        max(unread, key=lambda each: each.reservation.size).abort()
+        return True
 
     # Timeouts
 
--- a/tests/gateway/test_buffer_budget.py
+++ b/tests/gateway/test_buffer_budget.py
@@ -7,6 +7,7 @@
 import pytest
 
 from load_balancer.decisions.events import AttemptEnded, ClientDisconnected, Outcome, RequestArrived
+from load_balancer.gateway import client_server
 from load_balancer.gateway.buffer_budget import MIN_LIMIT_BYTES, REQUEST_SHARE, BufferBudget
 from load_balancer.gateway.http_message import BODY_LIMIT
 from tests.gateway.event_loop import runs_in_event_loop, wait_until
@@ -113,6 +114,27 @@
         assert gateway.proxy.buffers.used_bytes == 0
 
 
+@pytest.mark.parametrize("seconds_unread", [0.0, client_server.UNREAD_ANSWER_GRACE_S])
+@runs_in_event_loop
+async def test_answers_that_stay_unread_are_dropped_when_memory_runs_out(seconds_unread: float) -> None:
+    """Clients that read no answers could use up the budget, so that all other requests were rejected."""
+    async with running_gateway(limits=SMALL_LIMITS) as gateway:
+        slow_client = await gateway.client()
+        slow_client.send(encode_request())
+        received = await gateway.endpoint.requests.get()
+        connection = gateway.stop_reading(slow_client)
+        received.respond(body=bytes(BODY_LIMIT))
+        await gateway.wait_for_event(AttemptEnded)
+        gateway.proxy.buffers.limit_bytes = int(gateway.proxy.buffers.used_bytes / REQUEST_SHARE) - 1
+        connection.last_activity -= seconds_unread
+        client = await gateway.client()
+        client.send(encode_request())
+        if seconds_unread:
+            (await gateway.endpoint.requests.get()).respond()
+        assert (await client.read_response())[0] == (200 if seconds_unread else 503)
+        assert (connection in gateway.client_server.connections) == (not seconds_unread)
+
+
 @runs_in_event_loop
 async def test_a_request_whose_client_has_gone_keeps_no_body(monkeypatch: pytest.MonkeyPatch) -> None:
     """Where attempts cannot be cancelled, bodies of clients that come and go added up until the time-outs."""
