--- a/tests/gateway/test_buffer_budget.py
+++ b/tests/gateway/test_buffer_budget.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from pathlib import Path
 
 import pytest
 
@@ -12,6 +13,7 @@
 from load_balancer.gateway.http_message import BODY_LIMIT
 from tests.gateway.event_loop import runs_in_event_loop, wait_until
 from tests.gateway.http_client import encode_request
+from tests.gateway.reload_helpers import reloadable_gateway
 from tests.gateway.running_gateway import RunningGateway, running_gateway
 
 SMALL_LIMITS = {"sockets": 1024, "memory_mb": 1}
@@ -26,6 +28,13 @@
     assert BufferBudget(memory_mb).limit_bytes == limit_bytes
 
 
+async def test_a_reload_applies_a_changed_memory_limit(tmp_path: Path) -> None:
+    """A gateway with a lower limit than at its start would be killed with the budget of the old one."""
+    async with reloadable_gateway(tmp_path) as instance:
+        await instance.reload(limits={"sockets": 1024, "memory_mb": 40})
+        assert instance.gateway.proxy.buffers.limit_bytes == 10_000_000
+
+
 async def expect_release(gateway: RunningGateway) -> None:
     """Wait until nothing is counted any more, once every client has gone."""
     await wait_until(lambda: not gateway.client_server.connections)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -107,6 +107,7 @@
     classes.insert(0, {"name": "list-stops", "giveUpUs": 5})  # changes the index of all other classes
     del tenants[0]
     document["settings"]["caps"]["maxAttempts"] = 3
+    document["limits"]["memory_mb"] = 96
     return document | {"seed": "1", "discovery": "127.0.0.3:1"}
 
 
@@ -124,6 +125,7 @@
         "applied immediately:",
         '  ~ discovery "127.0.0.2:8500" -> "127.0.0.3:1"',
         '  ~ peers [] -> ["127.0.0.1:2"]',
+        "  ~ limits.memory_mb 192 -> 96",
         "applied at the next start only:",
         '  ~ seed "5eed" -> "1"',
     ]
