Leave an answer unread in one place of the tests of the message budget

Two tests had the same six lines. Their assertions are unchanged; each still fails without its part of the program (bytes in the transport not counted; connections of unread answers not closed).

--- a/tests/gateway/test_buffer_budget.py
+++ b/tests/gateway/test_buffer_budget.py
@@ -10,9 +10,10 @@
 from load_balancer.decisions.events import AttemptEnded, ClientDisconnected, Outcome, RequestArrived
 from load_balancer.gateway import client_server
 from load_balancer.gateway.buffer_budget import MIN_LIMIT_BYTES, REQUEST_SHARE, BufferBudget
+from load_balancer.gateway.client_connection import ClientConnection
 from load_balancer.gateway.http_message import BODY_LIMIT
 from tests.gateway.event_loop import runs_in_event_loop, wait_until
-from tests.gateway.http_client import encode_request
+from tests.gateway.http_client import HttpClient, encode_request
 from tests.gateway.reload_helpers import reloadable_gateway
 from tests.gateway.running_gateway import RunningGateway, running_gateway
 
@@ -41,6 +42,17 @@
     assert gateway.proxy.buffers.used_bytes == 0
 
 
+async def leave_answer_unread(gateway: RunningGateway) -> tuple[HttpClient, ClientConnection]:
+    """Serve a request with the largest body to a client that stops reading; return both ends."""
+    client = await gateway.client()
+    client.send(encode_request())
+    received = await gateway.endpoint.requests.get()
+    connection = gateway.stop_reading(client)
+    received.respond(body=bytes(BODY_LIMIT))
+    await gateway.wait_for_event(AttemptEnded)
+    return client, connection
+
+
 @runs_in_event_loop
 async def test_requests_received_in_part_are_rejected_before_they_fill_the_memory() -> None:
     """Bodies that never end added up over all connections; the gateway was killed with all its requests.
@@ -108,12 +120,7 @@
 async def test_answers_that_a_client_does_not_read_are_counted() -> None:
     """Clients that read no answers held up to 128 KB each, which nothing bounded over all of them."""
     async with running_gateway(limits=SMALL_LIMITS) as gateway:
-        client = await gateway.client()
-        client.send(encode_request())
-        received = await gateway.endpoint.requests.get()
-        connection = gateway.stop_reading(client)
-        received.respond(body=bytes(BODY_LIMIT))
-        await gateway.wait_for_event(AttemptEnded)
+        client, connection = await leave_answer_unread(gateway)
         assert connection.transport is not None
         unsent = connection.transport.get_write_buffer_size()
         assert gateway.proxy.buffers.used_bytes == unsent > 0
@@ -128,12 +135,7 @@
 async def test_answers_that_stay_unread_are_dropped_when_memory_runs_out(seconds_unread: float) -> None:
     """Clients that read no answers could use up the budget, so that all other requests were rejected."""
     async with running_gateway(limits=SMALL_LIMITS) as gateway:
-        slow_client = await gateway.client()
-        slow_client.send(encode_request())
-        received = await gateway.endpoint.requests.get()
-        connection = gateway.stop_reading(slow_client)
-        received.respond(body=bytes(BODY_LIMIT))
-        await gateway.wait_for_event(AttemptEnded)
+        slow_client, connection = await leave_answer_unread(gateway)
         gateway.proxy.buffers.limit_bytes = int(gateway.proxy.buffers.used_bytes / REQUEST_SHARE) - 1
         connection.last_activity -= seconds_unread
         client = await gateway.client()
@@ -142,6 +144,7 @@
             (await gateway.endpoint.requests.get()).respond()
         assert (await client.read_response())[0] == (200 if seconds_unread else 503)
         assert (connection in gateway.client_server.connections) == (not seconds_unread)
+        slow_client.writer.transport.abort()
 
 
 @runs_in_event_loop
