--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -484,12 +484,12 @@
         path.write_text(json.dumps(document), encoding="utf-8")
         return path
 
-    async def start_gateway(self, number: int, wait_ready: bool = True) -> Gateway:
-        """Start a gateway as the operators do, and wait until it is ready."""
+    async def start_gateway(self, number: int, wait_ready: bool = True, **changes: Any) -> Gateway:
+        """Start a gateway as the operators do, with changes to its file, and wait until it is ready."""
         host = f"127.0.1.{number + 1}"
         with socket.create_server((host, 0)) as reserved:
             port = reserved.getsockname()[1]
-        path = self.write_config(number, f"{host}:{port}")
+        path = self.write_config(number, f"{host}:{port}", **changes)
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))["run"]
         environ = {name: value for name, value in os.environ.items() if not name.startswith("ROUTER_")}
         environ |= {"ROUTER_CONFIG": str(path), "ROUTER_LOG": "json", "TMPDIR": str(self.scratch)}
