--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import select
 import shutil
 import signal
 import socket
@@ -32,6 +33,7 @@
 ANSWER_GRACE_S = 0.5  # up to this long after its time an answer only earns nothing; later it is lost
 SOCKET_SLACK_S = 0.05  # on sockets every time limit is 50 ms longer
 DISCOVERY_HOST = "127.0.2.1"
+NO_ANSWER = "no answer in its time"
 
 
 class CouldNotRunError(Exception):
@@ -91,6 +93,13 @@
     return Message(line, headers, body)
 
 
+def has_left(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the other side has closed its connection or its sending side."""
+    poll = select.poll()
+    poll.register(writer.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def encode_answer(status: int, body: bytes, *fields: str) -> bytes:
     """Return the bytes of an answer with a length."""
     lines = [f"HTTP/1.1 {status} X", *fields, f"Content-Length: {len(body)}", "", ""]
@@ -154,8 +163,9 @@
         await asyncio.sleep(self.world.random.uniform(*self.service_s))
 
     def body_for(self, request: Message) -> bytes:
-        """Return the body of the answer, which names the request that it was made for."""
-        return json.dumps({"made_for": request.request_id, "by": self.name}).encode()
+        """Return the body of an answer, which names its request and is unlike any other."""
+        number = self.world.next_answer()
+        return json.dumps({"made_for": request.request_id, "by": self.name, "answer": number}).encode()
 
     async def answer_whole(self, request: Message, writer: asyncio.StreamWriter) -> bool:
         """Answer 200 with a length, as a sound server does."""
@@ -266,7 +276,10 @@
 
 @dataclass
 class Sent:
-    """A request of a client and what came back: the status, 0 for nothing, and the body."""
+    """A request of a client and what came back: the status, 0 for nothing, and the body.
+
+    It is taken once its last byte is written to a connection that the gateway's machine accepted.
+    """
 
     request_id: str
     request_class: str
@@ -276,6 +289,7 @@
     status: int = 0
     body: bytes = b""
     end: str = ""
+    taken: bool = False
 
     @property
     def took_s(self) -> float:
@@ -346,7 +360,7 @@
             if answer is not None:
                 sent.status, sent.body = answer.status, answer.body
         except TimeoutError:
-            sent.end = "no answer in its time"
+            sent.end = NO_ANSWER
         except ConnectionError:
             sent.end = "unreachable"
         sent.ended_at = world.record.now()
@@ -363,6 +377,8 @@
             try:
                 fields = () if is_reused else self.fields_on_new
                 writer.write(self.encode(lane, sent.request_id, body, fields))
+                await writer.drain()
+                sent.taken = True
                 answer = await read_message(reader)
             finally:
                 if answer is None:
@@ -431,6 +447,7 @@
         self.settings["balancers"] = self.gateway_count
         self.tenant = self.settings["tenants"][0]["name"]
         self._next_id = 0
+        self._next_answer = 0
 
     def lane(self, effect: str, timeout_s: float | None = None) -> Lane:
         """Return how clients send requests of the class with an effect."""
@@ -438,6 +455,11 @@
         method = "GET" if effect == "free" else "POST"
         return Lane(raw["name"], method, timeout_s or raw["giveUpUs"] / 1e6, effect == "guarded")
 
+    def next_answer(self) -> int:
+        """Return a fresh number for an answer."""
+        self._next_answer += 1
+        return self._next_answer
+
     def next_id(self) -> str:
         """Return a fresh request id."""
         self._next_id += 1
@@ -548,11 +570,15 @@
 
 
 def unanswered(world: World) -> list[str]:
-    """Return a line for each request without a final answer half a second after its time."""
+    """Return a line for each request that was taken and had no answer half a second after its time.
+
+    One whose connection could not be opened was not taken, and one whose connection was ended may not have
+    been read: neither counts.
+    """
     return [
         f"{sent.request_id} ({sent.request_class}, {sent.timeout_s:g} s): {sent.end} ({sent.took_s:.2f} s)"
         for sent in world.sent
-        if sent.status == 0
+        if sent.taken and sent.status == 0 and sent.end == NO_ANSWER
     ]
 
 
