Answer requests that follow one with an offer to upgrade on its connection

Cause: the parser ends a request with an offer at its head and raises HttpParserUpgrade; RequestReader._feed_part stopped for good, while the request's keep_alive stayed true. The parser also skips the request's body.

Change: the reader begins the request again with a new parser and its head without the offer, which a server may ignore (RFC 9110, 7.8), so that body and framing are read as usual. An answer to CONNECT closes its connection, which could not be closed for others before.

--- a/load_balancer/gateway/incoming_request.py
+++ b/load_balancer/gateway/incoming_request.py
@@ -18,6 +18,7 @@
 
 # The parser is fed this many bytes at a time, so that what it buffers itself is counted in time.
 FEED_BYTES = 16 * 1024
+CONNECT = b"CONNECT"
 
 
 @dataclass(slots=True)
@@ -95,6 +96,8 @@
         # Bytes received of a head that is not complete; None while no head is being read.
         self._head_bytes: int | None = None
         self._framing_bytes = 0  # received in the body since the last part of its content
+        # Whether the next request that begins is the current one, without its offer to upgrade.
+        self._is_restarted = False
 
     @property
     def buffered_bytes(self) -> int:
@@ -116,18 +119,13 @@
                 self._feed_part(view[start : start + FEED_BYTES])
 
     def _feed_part(self, data: bytes | memoryview) -> None:
-        parser = self._parser
-        if parser is None:
-            return
         if self._head_bytes is None and not self.has_partial_request:
             self._head_bytes = 0
         if self._head_bytes is not None:
             self._head_bytes += len(data)
         self._framing_bytes += len(data)
         try:
-            parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.stop()  # the request is served; the bytes after it are not HTTP
+            self._parse(data)
         except httptools.HttpParserError:
             self.fail(HttpRequestError(400, "malformed request"))
         if self._head_bytes is not None and self._head_bytes > HEAD_LIMIT:
@@ -135,6 +133,32 @@
         elif self._head_bytes is None and self._framing_bytes > HEAD_LIMIT:
             self.fail(HttpRequestError(431, "trailers or chunk extensions too long"))
 
+    def _parse(self, data: bytes | memoryview) -> None:
+        while self._parser is not None:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as error:
+                offset: int = error.args[0]  # of the first byte after the head
+                data = self._restart_without_upgrade() + bytes(data[offset:])
+            else:
+                return
+
+    def _restart_without_upgrade(self) -> bytes:
+        """Begin the current request again with a new parser; return its head without the offer to upgrade.
+
+        The parser takes what follows an offer to upgrade for another protocol, even a body. An offer may be
+        ignored, and the connection then remains one of HTTP/1.1 (RFC 9110, 7.8).
+        """
+        parser, request = self._parser, self._request
+        if parser is None:
+            return b""
+        lines = [b"%b %b HTTP/%b" % (parser.get_method(), request.target, parser.get_http_version().encode())]
+        lines += [b"%b: %b" % header for header in request.headers if header[0].lower() != b"upgrade"]
+        self._parser = httptools.HttpRequestParser(self)
+        self._request = IncomingRequest()
+        self._is_restarted = True
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def stop(self) -> None:
         """Ignore all further bytes."""
         self.is_stopped = True
@@ -152,8 +176,9 @@
     def on_message_begin(self) -> None:
         """Begin a request."""
         self.has_partial_request = True
-        if self.has_read_request:
+        if self.has_read_request and not self._is_restarted:
             self.began_at = self._now()
+        self._is_restarted = False
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the target."""
@@ -170,7 +195,9 @@
             self.fail(HttpRequestError(431, f"more than {HEADER_COUNT_LIMIT} headers"))
 
     def on_headers_complete(self) -> None:
-        """End the head."""
+        """End the head, unless the request begins again without its offer to upgrade."""
+        if self._declines_upgrade():
+            return
         request = self._request
         request.head_size = request.size + len(request.target)
         if request.head_size > HEAD_LIMIT:
@@ -196,6 +223,8 @@
 
     def on_message_complete(self) -> None:
         """End the request."""
+        if self._declines_upgrade():
+            return
         self.has_partial_request = False
         self.has_read_request = True
         self._head_bytes = 0
@@ -203,7 +232,13 @@
             return
         request, self._request = self._request, IncomingRequest()
         request.received_at = self._now()
-        request.keep_alive = self._parser.should_keep_alive()
+        # No HTTP follows CONNECT.
+        request.keep_alive = self._parser.should_keep_alive() and request.method != CONNECT
         if not request.keep_alive:
             self.stop()
         self._listener.request_received(request)
+
+    def _declines_upgrade(self) -> bool:
+        """Return whether the parser ends the current request at its head, because of an offer to upgrade."""
+        parser = self._parser
+        return parser is not None and parser.should_upgrade() and parser.get_method() != CONNECT
