Treat a response that switches protocols as malformed

Operators saw a fault of the gateway in the log ("Fatal error on transport") where an endpoint or discovery answered 101. Cause: HttpParserUpgrade is no HttpParserError, so that it left data_received. Both responses end their attempt or call as any malformed one now. The two tests fail without the change, on the logged error.

--- a/load_balancer/gateway/discovery_call.py
+++ b/load_balancer/gateway/discovery_call.py
@@ -110,7 +110,7 @@
             return
         try:
             parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(f"malformed response: {error}")
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/load_balancer/gateway/upstream_connection.py
+++ b/load_balancer/gateway/upstream_connection.py
@@ -169,7 +169,7 @@
         self._received_bytes += len(data)
         try:
             parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.fail()
             return
         if self._is_complete:
--- a/tests/gateway/stub_discovery.py
+++ b/tests/gateway/stub_discovery.py
@@ -9,12 +9,19 @@
 
 
 class StubDiscovery(StubServer):
-    """Queues each opened watch for the test to write to; answers polls with `complete_list`."""
+    """Queues each opened watch for the test to write to; answers polls with `complete_list`.
+
+    Attributes:
+        watches: The first line of each watch's request, and the connection to write to.
+        complete_list: The body of the answer to a poll.
+        watch_head: The head of the answer to a watch.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.watches: asyncio.Queue[tuple[str, asyncio.StreamWriter]] = asyncio.Queue()
         self.complete_list = b"{}"
+        self.watch_head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         request_line, _ = await read_head(reader)
@@ -24,7 +31,7 @@
                 % (len(self.complete_list), self.complete_list)
             )
             return
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(self.watch_head)
         self.watches.put_nowait((request_line, writer))
         await reader.read()
 
--- a/tests/gateway/test_discovery_call.py
+++ b/tests/gateway/test_discovery_call.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from load_balancer.config.addresses import parse_address
 from load_balancer.decisions.actions import PollEndpoints
 from load_balancer.decisions.endpoint import ListKind
 from load_balancer.gateway import discovery_call
@@ -88,3 +89,19 @@
         reference = weakref.ref(gateway.proxy.discovery.current_watch)
         gateway.proxy.discovery.set_subscribed(False)
         await wait_until(lambda: reference() is None)
+
+
+async def test_a_response_that_switches_protocols_is_reported_as_an_error(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """The parser's exception reached the event loop, which logged it as a fault of the gateway."""
+    async with running_gateway(discovery="127.0.0.1:1") as gateway:
+        gateway.discovery.watch_head = (
+            b"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+        )
+        await next_list(gateway)
+        gateway.proxy.discovery.change_address(parse_address(gateway.discovery.address))
+        while gateway.discovery.watches.empty():
+            assert await next_list(gateway) == (ListKind.ERROR, [])
+        assert await next_list(gateway) == (ListKind.ERROR, [])
+    assert not [record for record in caplog.records if record.levelname == "ERROR"]
--- a/tests/gateway/test_upgrade_offers.py
+++ b/tests/gateway/test_upgrade_offers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from load_balancer.decisions.events import AttemptEnded, Outcome
 from load_balancer.gateway.incoming_request import IncomingRequest, RequestReader
 from tests.gateway.event_loop import runs_in_event_loop, wait_until
 from tests.gateway.http_client import encode_request
@@ -127,3 +128,19 @@
         client.writer.close()
         await wait_until(lambda: not gateway.client_server.connections)
         assert gateway.endpoint.requests.empty()
+
+
+@runs_in_event_loop
+async def test_an_endpoint_that_switches_protocols_ends_the_attempt(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """The parser's exception reached the event loop, which logged it as a fault of the gateway."""
+    async with running_gateway() as gateway:
+        client = await gateway.client()
+        client.send(encode_request("buy", **OFFER))
+        (await gateway.endpoint.requests.get()).respond_raw(
+            b"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+        )
+        assert (await gateway.wait_for_event(AttemptEnded)).outcome is Outcome.RESET
+        assert (await client.read_response())[0] == 502
+    assert not caplog.records
