Forward responses without a length that end with their connection

Cause: such a response ends with the orderly end of its connection, which the parser is never told. UpstreamConnection had no eof_received, so that an orderly end and a reset were both a reset.

Change: eof_received ends the attempt with the response if its head is complete, no header tells another end and there is content. A reset never gets there. The same for a complete list of discovery that comes without a length.

--- a/load_balancer/gateway/discovery_call.py
+++ b/load_balancer/gateway/discovery_call.py
@@ -12,6 +12,7 @@
 from load_balancer.config.addresses import Address
 from load_balancer.gateway.discovery_messages import JsonStreamSplitter
 from load_balancer.gateway.event_log import log_event
+from load_balancer.gateway.http_message import FRAMING_HEADERS
 
 # Allows for one lost SYN packet, which the kernel retransmits after 1 s.
 CONNECT_TIMEOUT_S = 1.2
@@ -113,6 +114,12 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(f"malformed response: {error}")
 
+    def eof_received(self) -> bool:
+        """Handle the end of what discovery sends; the transport closes itself."""
+        if not self.is_closed:
+            self._end_input()
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the call as failed unless it is over."""
         del exc
@@ -150,6 +157,9 @@
         """Handle the end of the body."""
         raise NotImplementedError
 
+    def _end_input(self) -> None:
+        """Handle the orderly end of the connection before the end of the body."""
+
 
 class WatchCall(DiscoveryCall):
     """A call whose response is a stream of messages; the end of the stream is a failure."""
@@ -179,6 +189,16 @@
     def __init__(self, parameters: CallParameters) -> None:
         super().__init__(parameters)
         self._body = bytearray()
+        self._has_framing = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Note whether the headers tell where the body ends."""
+        del value
+        self._has_framing = self._has_framing or name.lower() in FRAMING_HEADERS
+
+    def _end_input(self) -> None:
+        if self._body and not self._has_framing:
+            self._conclude()
 
     def _read_body(self, body: bytes) -> int:
         self._body += body
--- a/load_balancer/gateway/http_message.py
+++ b/load_balancer/gateway/http_message.py
@@ -31,6 +31,9 @@
 )
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
+# Headers that tell where the body of a response ends.
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+
 Header = tuple[bytes, bytes]
 
 
@@ -52,6 +55,11 @@
         """Return the first value of a header by its lower-case name; empty if it is missing."""
         return next((value for key, value in self.headers if key == name), b"")
 
+    @property
+    def has_framing(self) -> bool:
+        """Whether the headers tell where the body ends; otherwise the connection's orderly end does."""
+        return any(name in FRAMING_HEADERS for name, _ in self.headers)
+
     def outcome(self) -> Outcome:
         """Return the outcome of an attempt that received this response."""
         if self.status == 200:
--- a/load_balancer/gateway/upstream_connection.py
+++ b/load_balancer/gateway/upstream_connection.py
@@ -66,6 +66,7 @@
         self._buffers = owner.buffers
         self._reservation = BufferReservation(owner.buffers)
         self._is_complete = False
+        self._is_head_complete = False
         self._keep_alive = False
         # None once closed: the parser refers to this object, and the cycle would keep both in memory.
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
@@ -186,6 +187,19 @@
             log_buffers_exhausted(self._buffers, "a response was dropped")
             self.fail()
 
+    def eof_received(self) -> bool:
+        """End a response without a length, of which this is the end; the transport closes itself.
+
+        A reset is not reported here, but to `connection_lost`. A response without any content is not accepted
+        without a length, as it cannot be distinguished from one that was cut off after its head.
+        """
+        attempt, parser = self.attempt, self._parser
+        is_whole = self._is_head_complete and bool(self._body) and not self._response.has_framing
+        if attempt is not None and parser is not None and is_whole:
+            self._keep_alive = False
+            self._end_attempt(attempt, parser.get_status_code())
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         """End the attempt, if there is one."""
         del exc
@@ -213,6 +227,7 @@
         self._forget_response()
         self.attempt = None
         self._is_complete = False
+        self._is_head_complete = False
         if attempt.written and self._keep_alive:
             self.owner.release(self)
         else:
@@ -227,6 +242,7 @@
             raise HttpResponseError("a second response to one request")
         if self._response.headers or self._body:  # of an interim response
             self._forget_response()
+        self._is_head_complete = False
         self._size = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -240,6 +256,7 @@
 
     def on_headers_complete(self) -> None:
         """Begin to count the body."""
+        self._is_head_complete = True
         self._size = 0
 
     def on_body(self, body: bytes) -> None:
--- a/tests/gateway/stub_discovery.py
+++ b/tests/gateway/stub_discovery.py
@@ -14,6 +14,7 @@
     Attributes:
         watches: The first line of each watch's request, and the connection to write to.
         complete_list: The body of the answer to a poll.
+        poll_response: A response to polls in place of the usual one, after which the connection is closed.
         watch_head: The head of the answer to a watch.
     """
 
@@ -21,10 +22,15 @@
         super().__init__()
         self.watches: asyncio.Queue[tuple[str, asyncio.StreamWriter]] = asyncio.Queue()
         self.complete_list = b"{}"
+        self.poll_response = b""
         self.watch_head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         request_line, _ = await read_head(reader)
+        if "stream=1" not in request_line and self.poll_response:
+            writer.write(self.poll_response)
+            writer.close()
+            return
         if "stream=1" not in request_line:
             writer.write(
                 b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
--- a/tests/gateway/stub_server.py
+++ b/tests/gateway/stub_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import socket
+import struct
 
 Headers = dict[str, str]
 
@@ -15,6 +16,13 @@
         duplicate.send(data)
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection; closing it would end it in order."""
+    no_linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+    writer.transport.abort()
+
+
 def socket_with_small_buffer() -> socket.socket:
     """Return a socket whose small receive buffer makes the peer's writes block early."""
     sock = socket.socket()
