Keep a call that discovery answers late, and use the first call to be answered

Cause: DiscoveryCall ended a call without an answer after 3 s, a time chosen for open watches that have fallen silent. The next call was queued behind all others and ended as well, without end. A longer time would miss the 6 s in which a change must be known after a call that is never answered.

Change: such a call is overdue. It is reported as failed, so that the balancer makes the next call when it did before, but its connection is kept; the first call to be answered becomes the watch and the others are closed. Four overdue calls are kept.

--- a/load_balancer/gateway/discovery.py
+++ b/load_balancer/gateway/discovery.py
@@ -35,11 +35,17 @@
 REOPEN_BACKOFF_S = 0.05
 REOPEN_BACKOFF_MAX_S = 0.25
 MAX_COUNTED_FAILURES = 10  # bounds the exponent of the wait
+# Calls without an answer that are kept beside the latest one. While none is answered, one more is made about
+# every 3.5 s, so that discovery may take 15 s to answer.
+MAX_OVERDUE_CALLS = 4
 
 
 class DiscoveryClient:
     """A client of discovery that executes the balancer's subscriptions and polls.
 
+    A call that is overdue is reported as failed, so that the balancer makes another one, but is kept: the
+    first call to be answered is used, and the others are closed.
+
     Args:
         loop: The loop on which the calls run.
         address: Where discovery accepts connections.
@@ -70,6 +76,7 @@
         self._consecutive_failures = 0
         self._index = 0
         self._polls: set[DiscoveryCall] = set()
+        self._overdue_calls: list[DiscoveryCall] = []  # the oldest first
 
     def start(self, cached_list: dict[str, Any]) -> None:
         """Publish a cached list, in the form of a discovery message; open the watch if the list is pushed."""
@@ -84,6 +91,7 @@
         for call in (self.current_watch, *self._polls):
             if call is not None:
                 call.close()
+        self._close_overdue_calls()
 
     def set_subscribed(self, active: bool) -> None:
         """Open a watch unless one is open, or close it."""
@@ -91,6 +99,8 @@
         if self.current_watch is not None and not active:
             self.current_watch.close()
             self.current_watch = None
+        if not active:
+            self._close_overdue_calls()
         if self.current_watch is None and active:
             target = f"{ENDPOINTS_PATH}?stream=1&index={self._index}"
             self.current_watch = WatchCall(self._call_parameters(target))
@@ -100,7 +110,13 @@
         self._polls.add(PollCall(self._call_parameters(ENDPOINTS_PATH)))
 
     def _call_parameters(self, target: str) -> CallParameters:
-        return CallParameters(self._loop, self._address, target, self._on_message, self.on_call_failed)
+        return CallParameters(self._loop, self._address, target, self)
+
+    def _close_overdue_calls(self, except_call: DiscoveryCall | None = None) -> None:
+        calls, self._overdue_calls = self._overdue_calls, []
+        for call in calls:
+            if call is not except_call:
+                call.close()
 
     def change_address(self, address: Address) -> None:
         """Repeat the open watch and polls at another address, at once.
@@ -121,8 +137,32 @@
                 self.poll()
             self._polls.discard(call)
 
+    # CallListener
+
+    def on_call_answered(self, call: DiscoveryCall) -> None:
+        """Use an answered call, which may be overdue, and close the others."""
+        if call in self._overdue_calls and isinstance(call, WatchCall):
+            if self.current_watch is not None:
+                self.current_watch.close()
+            self.current_watch = call
+        self._close_overdue_calls(except_call=call)
+
+    def on_call_overdue(self, call: DiscoveryCall) -> None:
+        """Keep an overdue call, and report it as failed so that another one is made."""
+        self._overdue_calls.append(call)
+        if len(self._overdue_calls) > MAX_OVERDUE_CALLS:
+            self._overdue_calls.pop(0).close()
+        self._report_failure(call)
+
     def on_call_failed(self, call: DiscoveryCall) -> None:
-        """Report a failed call; the watch of a pushed list is opened again after a wait instead."""
+        """Report a failed call, unless it has been reported when it became overdue."""
+        if call in self._overdue_calls:
+            self._overdue_calls.remove(call)
+        else:
+            self._report_failure(call)
+
+    def _report_failure(self, call: DiscoveryCall) -> None:
+        """Report a failure; the watch of a pushed list is opened again after a wait instead."""
         self._polls.discard(call)
         if call is self.current_watch:
             self.current_watch = None
@@ -136,7 +176,7 @@
         self._consecutive_failures = min(self._consecutive_failures + 1, MAX_COUNTED_FAILURES)
         self._loop.call_later(backoff_s * random.uniform(0.5, 1.0), self.set_subscribed, True)
 
-    def _on_message(self, data: bytes) -> bool:
+    def on_message(self, data: bytes) -> bool:
         """Publish one message; return False and leave the list unchanged if it cannot be read."""
         try:
             event = decode_list(data, self._names, self._cached)
--- a/load_balancer/gateway/discovery_call.py
+++ b/load_balancer/gateway/discovery_call.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
-from typing import cast
+from typing import Protocol, cast
 
 import httptools
 
@@ -18,11 +17,28 @@
 CONNECT_TIMEOUT_S = 1.2
 # Discovery sends a line on a watch every 2 s; the timeout detects a peer that has vanished. Only the end of a
 # head, a message or an empty line and the first byte of a further message restart the timer, so that a peer
-# that sends single bytes without completing a message times out too.
+# that sends single bytes without completing a message times out too. After this time a call is overdue if it
+# has no message yet, and has failed otherwise.
 INACTIVITY_TIMEOUT_S = 3.0
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 
 
+class CallListener(Protocol):
+    """The receiver of what calls report."""
+
+    def on_message(self, data: bytes) -> bool:
+        """Handle the text of one message; return whether it could be read."""
+
+    def on_call_answered(self, call: DiscoveryCall) -> None:
+        """Handle the first progress of an answer, before its messages are reported."""
+
+    def on_call_overdue(self, call: DiscoveryCall) -> None:
+        """Handle a call that has no answer within `INACTIVITY_TIMEOUT_S`; one may still come."""
+
+    def on_call_failed(self, call: DiscoveryCall) -> None:
+        """Handle the only failure of a call: it has ended, or the message of a poll could not be read."""
+
+
 @dataclass(frozen=True, slots=True)
 class CallParameters:
     """What a call requests, and who is told of its result.
@@ -31,15 +47,13 @@
         loop: The loop on which the call runs.
         address: Where discovery accepts connections.
         target: Path and query of the request.
-        on_message: Called with the text of one message; returns whether it could be read.
-        on_failure: Called at most once, when the call has failed or the message of a poll could not be read.
+        listener: Is told of the messages and of the end of the call.
     """
 
     loop: asyncio.AbstractEventLoop
     address: Address
     target: str
-    on_message: Callable[[bytes], bool]
-    on_failure: Callable[[DiscoveryCall], None]
+    listener: CallListener
 
 
 class DiscoveryCall(asyncio.Protocol):
@@ -47,15 +61,18 @@
 
     Attributes:
         is_closed: Whether the call is over and reports nothing more.
+        is_answered: Whether a line or a message of its answer has been received.
+        is_overdue: Whether it was reported as overdue.
     """
 
     def __init__(self, parameters: CallParameters) -> None:
         self.is_closed = False
+        self.is_answered = False
+        self.is_overdue = False
         self._loop = parameters.loop
         self._address = parameters.address
         self._target = parameters.target
-        self._on_message = parameters.on_message
-        self._on_failure = parameters.on_failure
+        self._listener = parameters.listener
         # None once closed: the parser refers to this object, and the cycle would keep both in memory.
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
@@ -83,14 +100,30 @@
             return
         self.close()
         log_event("discovery.call_failed", reason=reason)
-        self._on_failure(self)
+        self._listener.on_call_failed(self)
 
     def _restart_inactivity_timer(self) -> None:
         if self._inactivity_timer is not None:
             self._inactivity_timer.cancel()
-        self._inactivity_timer = self._loop.call_later(
-            INACTIVITY_TIMEOUT_S, self._fail, "no progress within the inactivity timeout"
-        )
+        self._inactivity_timer = self._loop.call_later(INACTIVITY_TIMEOUT_S, self._on_inactivity)
+
+    def _on_inactivity(self) -> None:
+        """Fail, or report once that there is no answer yet.
+
+        Discovery answers calls in turn. Were a call ended while it is queued, the next one would be queued
+        behind all others again, and while the queue is longer than the timeout none would be answered.
+        """
+        if self.is_answered:
+            self._fail("no progress within the inactivity timeout")
+        elif not self.is_overdue:
+            self.is_overdue = True
+            log_event("discovery.call_overdue")
+            self._listener.on_call_overdue(self)
+
+    def _note_answer(self) -> None:
+        if not self.is_answered:
+            self.is_answered = True
+            self._listener.on_call_answered(self)
 
     # asyncio.Protocol
 
@@ -172,9 +205,12 @@
         splitter = self._splitter
         completed_before = splitter.completed
         begins_message = completed_before > 0 and not splitter.buffered_bytes
-        for message in splitter.feed(body):
+        messages = splitter.feed(body)
+        if splitter.completed > 0:
+            self._note_answer()
+        for message in messages:
             if not self.is_closed:  # an earlier message may have closed the call
-                self._on_message(message)
+                self._listener.on_message(message)
         if not self.is_closed and (begins_message or splitter.completed > completed_before):
             self._restart_inactivity_timer()
         return splitter.buffered_bytes
@@ -205,6 +241,7 @@
         return len(self._body)
 
     def _conclude(self) -> None:
+        self._note_answer()
         self.close()
-        if not self._on_message(bytes(self._body)):
-            self._on_failure(self)
+        if not self._listener.on_message(bytes(self._body)):
+            self._listener.on_call_failed(self)
--- a/load_balancer/gateway/log_events.py
+++ b/load_balancer/gateway/log_events.py
@@ -131,6 +131,12 @@
             ("reason",),
             ("reason",),
         ),
+        RegisteredEvent(
+            "discovery.call_overdue",
+            INFO,
+            "discovery has not answered a call; calling again",
+            "A watch or a poll has no answer yet; another call is made, and the first answer to any is used.",
+        ),
         RegisteredEvent(
             "discovery.entry_skipped",
             WARNING,
--- a/tests/gateway/stub_discovery.py
+++ b/tests/gateway/stub_discovery.py
@@ -7,6 +7,8 @@
 
 from tests.gateway.stub_server import StubServer, read_head
 
+WATCH_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 
 class StubDiscovery(StubServer):
     """Queues each opened watch for the test to write to; answers polls with `complete_list`.
@@ -14,6 +16,7 @@
     Attributes:
         watches: The first line of each watch's request, and the connection to write to.
         complete_list: The body of the answer to a poll.
+        poll_delay_s: Time until polls are answered.
         poll_response: A response to polls in place of the usual one, after which the connection is closed.
         watch_head: The head of the answer to a watch.
     """
@@ -22,11 +25,14 @@
         super().__init__()
         self.watches: asyncio.Queue[tuple[str, asyncio.StreamWriter]] = asyncio.Queue()
         self.complete_list = b"{}"
+        self.poll_delay_s = 0.0
         self.poll_response = b""
-        self.watch_head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.watch_head = WATCH_HEAD
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         request_line, _ = await read_head(reader)
+        if "stream=1" not in request_line:
+            await asyncio.sleep(self.poll_delay_s)
         if "stream=1" not in request_line and self.poll_response:
             writer.write(self.poll_response)
             writer.close()
@@ -39,7 +45,8 @@
             return
         writer.write(self.watch_head)
         self.watches.put_nowait((request_line, writer))
-        await reader.read()
+        await reader.read()  # until the gateway closes the call
+        writer.close()
 
 
 def encode_chunk(line: str) -> bytes:
--- a/tests/gateway/test_endpoint_list_latency.py
+++ b/tests/gateway/test_endpoint_list_latency.py
@@ -9,6 +9,7 @@
 import pytest
 
 from load_balancer.config.file import parse_config
+from load_balancer.decisions.list_polling import MAX_FIRST_CALL_DELAY_US
 from load_balancer.gateway.discovery import CHANGE_DEADLINE_S, QUEUED_CALL_S
 from load_balancer.gateway.discovery_call import DiscoveryCall
 from load_balancer.gateway.discovery_messages import WatchEvent
@@ -16,6 +17,8 @@
 from tests.gateway.configurations import configuration, settings
 from tests.gateway.stub_discovery import encode_chunk, endpoint_entry, watch_event
 
+FIRST_CALL_DELAY_S = MAX_FIRST_CALL_DELAY_US / 1e6
+SIMULATION_LIMIT_S = 300.0
 UNQUEUED_CALL_S = 0.2  # time to the answer to a call that does not queue
 UNAVAILABLE_RESPONSE = b"HTTP/1.1 503 Any\r\nContent-Length: 0\r\n\r\n"
 WATCH_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -35,6 +38,7 @@
     def select(self, timeout: float | None = None) -> Any:
         assert timeout is not None, "no timer is left"
         self.now_s += max(0.0, timeout)
+        assert self.now_s < SIMULATION_LIMIT_S, "the change is never known"
         return super().select(0)
 
 
@@ -162,6 +166,26 @@
     assert worst_s <= CHANGE_DEADLINE_S
 
 
+@pytest.mark.parametrize("answer_delay_s", [2.9, 4.0, 4.4])
+@pytest.mark.parametrize("max_poll_interval_s", [1, 10, 600])
+def test_a_change_is_known_in_time_if_discovery_answers_slowly(
+    max_poll_interval_s: int, answer_delay_s: float
+) -> None:
+    """A call that was ended while it queued was never answered, and neither were those after it."""
+    worst_s = max(
+        seconds_until_known(0.0, "", [(answer_delay_s, CHANGED_LIST)], seed, max_poll_interval_s * 1_000_000)
+        for seed in range(10)
+    )
+    assert worst_s <= CHANGE_DEADLINE_S
+
+
+@pytest.mark.parametrize("answer_delay_s", [7.0, 15.0])
+def test_a_change_is_known_however_long_discovery_queues_calls(answer_delay_s: float) -> None:
+    """No deadline can be kept then, but the list must come with the first call to be answered."""
+    known_s = seconds_until_known(0.0, "", [(answer_delay_s, CHANGED_LIST)], 1, 10_000_000)
+    assert known_s <= answer_delay_s + FIRST_CALL_DELAY_S
+
+
 @pytest.mark.parametrize("max_poll_interval_s", [1, 10, 60, 600])
 def test_a_change_is_known_in_time_if_the_first_two_calls_queue(max_poll_interval_s: int) -> None:
     """A first call delayed in proportion to a long polling interval would miss the deadline.
