Answer an id that comes again 409 if its request may have run

Cause: the gateway knew requests by its own numbers alone. The attempt of a client that has left may have run, and the request that came again was sent to an endpoint as a new one.

One that comes again is answered 409, which says that it failed and not that trying again is harmless. An id is forgotten at once if no attempt can have run.

The tests' requests have an id of their own each, as the protocol wants; before, all had the same.

--- a/load_balancer/gateway/attempt_sender.py
+++ b/load_balancer/gateway/attempt_sender.py
@@ -7,7 +7,7 @@
 from functools import partial
 
 from load_balancer.decisions.actions import Send
-from load_balancer.decisions.events import AttemptEnded, Event, LoadReport, Outcome
+from load_balancer.decisions.events import NEVER_EXECUTED, AttemptEnded, Event, LoadReport, Outcome
 from load_balancer.gateway.clock import Clock
 from load_balancer.gateway.http_message import Response
 from load_balancer.gateway.load_reports import parse_load_report_header
@@ -113,6 +113,7 @@
     def _attempt_ended(self, sent: SentAttempt, outcome: Outcome, response: Response | None) -> None:
         request = sent.request
         request.attempts_in_flight -= 1
+        request.may_have_run = request.may_have_run or self._may_have_run(request, outcome)
         latency_us = self._clock.now_us() - sent.sent_us
         if outcome is Outcome.OK and response is not None:
             self._request_tracker.answer(request, response)
@@ -129,6 +130,12 @@
         )
         self._request_tracker.remove_if_finished(request)
 
+    @staticmethod
+    def _may_have_run(request: PendingRequest, outcome: Outcome) -> bool:
+        if outcome is Outcome.REJECTED:
+            return request.settings_version.settings.rejected_may_have_run
+        return outcome not in NEVER_EXECUTED
+
     def _load_report(self, response: Response | None) -> LoadReport:
         if response is None or not self.reads_load_reports:
             return ()
--- a/load_balancer/gateway/client_request.py
+++ b/load_balancer/gateway/client_request.py
@@ -10,6 +10,7 @@
     """A request that has been parsed and validated.
 
     Attributes:
+        id: The client's id of it.
         request_class: Index of its class in the settings.
         timeout_us: How long the client waits for an answer, in microseconds.
         waited_us: Time from the reading of its last byte to its parsing, in microseconds.
@@ -21,6 +22,7 @@
         is_write: Whether the client marks it as a write.
     """
 
+    id: bytes
     request_class: int
     timeout_us: int
     waited_us: int
--- a/load_balancer/gateway/request_parsing.py
+++ b/load_balancer/gateway/request_parsing.py
@@ -78,6 +78,7 @@
     _check_method(incoming, headers, lookup.config.settings.classes[request_class].idempotency)
     _check_request_id(headers.get(b"request-id", b""))
     return ClientRequest(
+        id=headers[b"request-id"],
         request_class=request_class,
         timeout_us=_parse_timeout_ms(headers) * 1000,
         waited_us=int((now - incoming.received_at) * 1e6),
--- a/load_balancer/gateway/request_tracker.py
+++ b/load_balancer/gateway/request_tracker.py
@@ -8,11 +8,13 @@
 
 from load_balancer.config.gateway_config import NameTable
 from load_balancer.decisions.events import ClientDisconnected, Event, RequestArrived
+from load_balancer.decisions.settings import Idempotency
 from load_balancer.decisions.settings_version import SettingsVersion
 from load_balancer.gateway.client_request import ClientRequest
 from load_balancer.gateway.clock import Clock
 from load_balancer.gateway.event_log import log_event
 from load_balancer.gateway.http_message import Response, text_response
+from load_balancer.gateway.recent_request_ids import RecentRequestIds
 from load_balancer.gateway.upstream_attempt import UpstreamAttempt
 
 # Subtracted from the client's timeout for the transit of the request and its answer.
@@ -40,6 +42,8 @@
         deadline_timer: The timer that answers it if nothing else has.
         attempts: By number; None for one that was never started.
         attempts_in_flight: Attempts whose outcome is not known yet.
+        is_idempotent: Whether it may be executed any number of times.
+        may_have_run: Whether the outcome of an attempt does not prove that it was not executed.
     """
 
     id: str
@@ -53,6 +57,8 @@
     deadline_timer: asyncio.TimerHandle | None = None
     attempts: list[UpstreamAttempt | None] = field(default_factory=list)
     attempts_in_flight: int = 0
+    is_idempotent: bool = False
+    may_have_run: bool = False
 
     @property
     def is_closed(self) -> bool:
@@ -74,6 +80,11 @@
         )
 
 
+def _is_idempotent(client_request: ClientRequest, settings_version: SettingsVersion) -> bool:
+    request_class = settings_version.settings.classes[client_request.request_class]
+    return request_class.idempotency is Idempotency.IDEMPOTENT
+
+
 class RequestTracker:
     """A tracker of the accepted requests until they are answered and their attempts have ended.
 
@@ -81,6 +92,7 @@
         pending: Requests by their id.
         unanswered: Number of requests without a final answer.
         accepted: Number of requests accepted so far.
+        recent_ids: Ids of requests that must not be executed again.
     """
 
     def __init__(
@@ -101,6 +113,7 @@
         self.pending: dict[str, PendingRequest] = {}
         self.unanswered = 0
         self.accepted = 0
+        self.recent_ids = RecentRequestIds(loop.time)
         self._loop = loop
         self._clock = clock
         self._dispatch = dispatch
@@ -135,8 +148,11 @@
             self._clock.now_us() + remaining_us,
             send_answer,
             has_disconnected,
+            is_idempotent=_is_idempotent(client_request, settings_version),
         )
         self.pending[request.id] = request
+        if not request.is_idempotent:
+            self.recent_ids.add(client_request.id)
         self.unanswered += 1
         delay_s = (remaining_us + DEADLINE_TIMER_DELAY_US) / 1e6
         # One iteration of the loop after the timer: if an attempt times out in the same iteration, that is
@@ -146,6 +162,10 @@
         )
         return request
 
+    def is_repeat(self, client_request: ClientRequest, settings_version: SettingsVersion) -> bool:
+        """Return whether a request may have been executed under this id and must not be executed again."""
+        return client_request.id in self.recent_ids and not _is_idempotent(client_request, settings_version)
+
     def get(self, request_id: str | None) -> PendingRequest | None:
         """Return a tracked request by its id, if there is one."""
         return self.pending.get(request_id) if request_id is not None else None
@@ -197,6 +217,10 @@
         """Remove a request that needs no answer and has no attempt in flight."""
         if request.is_closed and request.attempts_in_flight == 0:
             self.pending.pop(request.id, None)
+            if request.may_have_run and not request.is_idempotent:
+                self.recent_ids.add(request.client_request.id)
+            else:
+                self.recent_ids.discard(request.client_request.id)
 
     def _answer_and_remove(self, request: PendingRequest, response: Response) -> None:
         if not request.is_closed:
--- a/load_balancer/gateway/reverse_proxy.py
+++ b/load_balancer/gateway/reverse_proxy.py
@@ -238,11 +238,19 @@
         send_answer: AnswerCallback,
         has_disconnected: Callable[[], bool] = lambda: False,
     ) -> PendingRequest | None:
-        """Accept a request as `RequestTracker.accept` does, or answer it 503 if too many are unanswered."""
+        """Accept a request as `RequestTracker.accept` does, or answer it itself.
+
+        The answer is 503 if too many requests are unanswered, and 409 if a request with this id may have been
+        executed, and must not be executed again. Every request has an id of its own, but a client that has
+        left may come again with the same one.
+        """
         if 0 < self.settings.max_open_requests <= self.request_tracker.unanswered:
             send_answer(text_response(503, "too many requests"))
             return None
         version = self.settings_version
+        if self.request_tracker.is_repeat(client_request, version):
+            send_answer(text_response(409, "a request with this id may have run"))
+            return None
         names = self._log_fields.names
         request = self.request_tracker.accept(client_request, version, names, send_answer, has_disconnected)
         self.dispatch(request.arrival_event())
--- a/tests/gateway/http_client.py
+++ b/tests/gateway/http_client.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from dataclasses import dataclass
 
 from tests.gateway.stub_server import Headers, read_message
 
+_request_numbers = itertools.count(1)
+
 
 def encode_request(
     request_class: str = "look", method: str = "", body: bytes = b"", **headers: str | None
 ) -> bytes:
-    """Encode a request of a class with default headers; a header given as None is left out."""
+    """Encode a request of a class with an id of its own; a header given as None is left out."""
     header_values: dict[str, str | None] = {
         "Host": "service.internal",
-        "Request-Id": "0123abcd",
+        "Request-Id": f"{next(_request_numbers):016x}",
         "Request-Class": request_class,
         "Request-Timeout-Ms": "30000",
         "Content-Length": str(len(body)) if body else None,
--- a/tests/gateway/test_buffer_budget.py
+++ b/tests/gateway/test_buffer_budget.py
@@ -21,7 +21,11 @@
 REQUEST_LIMIT_BYTES = int(MIN_LIMIT_BYTES * REQUEST_SHARE)
 # More bodies of the largest size than fit into the budget for requests.
 TOO_MANY_BODIES = REQUEST_LIMIT_BYTES // BODY_LIMIT + 4
-FULL_REQUEST = encode_request("buy", body=bytes(BODY_LIMIT))
+
+
+def full_request() -> bytes:
+    """Return a request of the largest size, with an id of its own."""
+    return encode_request("buy", body=bytes(BODY_LIMIT))
 
 
 @pytest.mark.parametrize(("memory_mb", "limit_bytes"), [(64, 16_000_000), (0.5, MIN_LIMIT_BYTES)])
@@ -64,7 +68,7 @@
         small_client = await gateway.client()
         small_client.send(encode_request()[:-2])
         for bad_client in bad_clients:
-            bad_client.send(FULL_REQUEST[:-1])
+            bad_client.send(full_request()[:-1])
         rejected, _ = await asyncio.wait(
             [asyncio.create_task(client.read_response()) for client in bad_clients],
             return_when=asyncio.FIRST_COMPLETED,
@@ -85,7 +89,7 @@
     async with running_gateway(limits=SMALL_LIMITS) as gateway:
         gateway.proxy.balancer.concurrency_limit.limit = 2.0 * TOO_MANY_BODIES
         clients = [await gateway.client() for _ in range(TOO_MANY_BODIES)]
-        statuses = [asyncio.create_task(client.request(FULL_REQUEST)) for client in clients]
+        statuses = [asyncio.create_task(client.request(full_request())) for client in clients]
         await asyncio.wait(statuses, return_when=asyncio.FIRST_COMPLETED)
         assert gateway.proxy.buffers.used_bytes <= REQUEST_LIMIT_BYTES + BODY_LIMIT
         for _ in range(gateway.proxy.request_tracker.accepted):
@@ -93,7 +97,7 @@
         answers = [status for status, _, _ in await asyncio.gather(*statuses)]
         assert answers.count(200) == gateway.proxy.request_tracker.accepted
         assert answers.count(503) == TOO_MANY_BODIES - answers.count(200) > 0
-        await gateway.serve_request(clients[-1], FULL_REQUEST)
+        await gateway.serve_request(clients[-1], full_request())
         for client in clients:
             client.writer.transport.abort()
         await expect_release(gateway)
@@ -153,7 +157,7 @@
     async with running_gateway() as gateway:
         monkeypatch.setattr(gateway.proxy, "_cancel", lambda _action: None)
         client = await gateway.client()
-        client.send(FULL_REQUEST)
+        client.send(full_request())
         await gateway.wait_for_event(RequestArrived)
         received = await gateway.endpoint.requests.get()
         client.writer.transport.abort()
--- a/tests/gateway/test_request_tracker.py
+++ b/tests/gateway/test_request_tracker.py
@@ -18,7 +18,8 @@
 async def test_a_request_and_its_response_are_forwarded_unchanged() -> None:
     async with running_gateway() as gateway:
         client = await gateway.client()
-        client.send(encode_request("pay", body=b"\0\xffcard", X_Trace="t1", X_Hop="h", Connection="X-Hop"))
+        headers = {"Request_Id": "0123abcd", "X_Trace": "t1", "X_Hop": "h", "Connection": "X-Hop"}
+        client.send(encode_request("pay", body=b"\0\xffcard", **headers))
         received = await gateway.endpoint.requests.get()
         assert received.request_line == "POST /pay?user=00ff HTTP/1.1"
         assert received.body == b"\0\xffcard"
--- a/tests/gateway/test_upgrade_offers.py
+++ b/tests/gateway/test_upgrade_offers.py
@@ -23,7 +23,7 @@
 
 def chunked_request() -> bytes:
     """Return a request whose body comes in two chunks."""
-    head = encode_request("buy", Transfer_Encoding="chunked", **OFFER)
+    head = encode_request("buy", Request_Id="offered", Transfer_Encoding="chunked", **OFFER)
     return head + b"5\r\n%b\r\n%x\r\n%b\r\n0\r\n\r\n" % (BODY[:5], len(BODY) - 5, BODY[5:])
 
 
@@ -63,7 +63,9 @@
 
 @pytest.mark.parametrize("piece_bytes", [1, 7, 100_000])
 @pytest.mark.parametrize(
-    "request_bytes", [encode_request("buy", body=BODY, **OFFER), chunked_request()], ids=["length", "chunks"]
+    "request_bytes",
+    [encode_request("buy", body=BODY, Request_Id="offered", **OFFER), chunked_request()],
+    ids=["length", "chunks"],
 )
 @runs_in_event_loop
 async def test_the_body_of_a_request_with_an_offer_is_forwarded(
@@ -79,7 +81,7 @@
         for start in range(0, len(data), piece_bytes):
             client.send(data[start : start + piece_bytes])
             await client.writer.drain()
-        assert await serve_next(gateway, "0123abcd") == BODY
+        assert await serve_next(gateway, "offered") == BODY
         assert (await client.read_response())[0] == 200
         assert await serve_next(gateway, "next") == b""
         assert (await client.read_response())[0] == 200
