--- a/load_balancer/gateway/read_scheduler.py
+++ b/load_balancer/gateway/read_scheduler.py
@@ -26,12 +26,13 @@
         self._paused: dict[asyncio.Transport, None] = {}  # in the order in which they read again
         self._is_scheduled = False
         # One for all connections, as what is read is parsed before the next read.
-        self._memory = memoryview(bytearray(READ_BYTES))
-        self._buffer = self._memory
+        self._whole_buffer = memoryview(bytearray(READ_BYTES))
+        self._contended_buffer = self._whole_buffer[:CONTENDED_READ_BYTES]
+        self._buffer = self._whole_buffer
 
     def buffer(self) -> memoryview:
         """Return the buffer for the next read."""
-        self._buffer = self._memory[: CONTENDED_READ_BYTES if self._paused else READ_BYTES]
+        self._buffer = self._contended_buffer if self._paused else self._whole_buffer
         return self._buffer
 
     def received(self, byte_count: int) -> memoryview:
