Forget a request's id only at its own first end

Found by reading: the end of an idempotent request with the id of one that may have run made the gateway forget that id, and so did a second call for a request that had ended before. Each would let the id run twice. Only the call that removes a request that is not idempotent changes what is remembered. The new test fails without the change.

--- a/load_balancer/gateway/request_tracker.py
+++ b/load_balancer/gateway/request_tracker.py
@@ -215,12 +215,17 @@
 
     def remove_if_finished(self, request: PendingRequest) -> None:
         """Remove a request that needs no answer and has no attempt in flight."""
-        if request.is_closed and request.attempts_in_flight == 0:
-            self.pending.pop(request.id, None)
-            if request.may_have_run and not request.is_idempotent:
-                self.recent_ids.add(request.client_request.id)
-            else:
-                self.recent_ids.discard(request.client_request.id)
+        if not request.is_closed or request.attempts_in_flight > 0:
+            return
+        is_first_call = self.pending.pop(request.id, None) is not None
+        if is_first_call and not request.is_idempotent:
+            self._remember_or_forget_id(request)
+
+    def _remember_or_forget_id(self, request: PendingRequest) -> None:
+        if request.may_have_run:
+            self.recent_ids.add(request.client_request.id)
+        else:
+            self.recent_ids.discard(request.client_request.id)
 
     def _answer_and_remove(self, request: PendingRequest, response: Response) -> None:
         if not request.is_closed:
--- a/tests/gateway/test_repeated_request_ids.py
+++ b/tests/gateway/test_repeated_request_ids.py
@@ -80,6 +80,23 @@
         assert len(gateway.proxy.request_tracker.recent_ids) == 0
 
 
+@runs_in_event_loop
+async def test_the_end_of_another_request_forgets_no_id() -> None:
+    """An idempotent request of the same id, or one that had ended before, made the gateway forget it."""
+    async with running_gateway() as gateway:
+        tracker = gateway.proxy.request_tracker
+        client = await gateway.client()
+        client.send(encode_request("buy", Request_Id="again"))
+        received = await gateway.endpoint.requests.get()
+        (unsent_request,) = tracker.pending.values()
+        received.respond(503, Not_Started="1")
+        assert (await client.read_response())[0] == 503
+        await gateway.serve_request(client, encode_request("buy", Request_Id="again"))
+        await gateway.serve_request(client, encode_request("look", Request_Id="again"))
+        tracker.remove_if_finished(unsent_request)
+        assert (await client.request(encode_request("buy", Request_Id="again")))[0] == 409
+
+
 def test_recent_ids_are_bounded_in_number_and_age() -> None:
     """Remembered for ever, the ids of every request would fill memory."""
     now = [0.0]
