Log applied lists, refusals, failed attempts, retries and closes with their reasons

Each has an event now, counted like all others (a line a second for each key), and the events of a request carry the client's id.

--- a/load_balancer/__main__.py
+++ b/load_balancer/__main__.py
@@ -42,7 +42,13 @@
     gc.freeze()  # exempts the cached endpoints, which live as long as the process, from garbage collection
     trim_heap()
     await client_server.start()
-    log_event("gateway.listening", name=config.name, listen=f"{config.listen[0]}:{config.listen[1]}")
+    log_event(
+        "gateway.listening",
+        name=config.name,
+        listen=f"{config.listen[0]}:{config.listen[1]}",
+        index=proxy.discovery.index,
+        ready=proxy.upstream.ready_count,
+    )
     await stop_requested.wait()
     await client_server.drain()
     loop.remove_signal_handler(signal.SIGHUP)
--- a/load_balancer/decisions/actions.py
+++ b/load_balancer/decisions/actions.py
@@ -2,7 +2,26 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class UnservedReason(Enum):
+    """Why a request is answered without having been served.
+
+    Attributes:
+        UNKNOWN: The decision names none.
+        LOAD_SHED: Load is shed.
+        NO_ENDPOINT: No endpoint is eligible.
+        NO_RETRY: Its last attempt failed, and it may not be retried or has no time left for a retry.
+        KEY_QUEUE: Requests with its key take too long.
+    """
+
+    UNKNOWN = "unknown"
+    LOAD_SHED = "load is shed"
+    NO_ENDPOINT = "no endpoint is eligible"
+    NO_RETRY = "it may not be retried"
+    KEY_QUEUE = "requests with its key take too long"
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,17 +49,25 @@
     Attributes:
         request_id: The request that is rejected.
         retry_after_us: How long the client should wait before a retry, in microseconds; 0 if unspecified.
+        reason: For the log; actions that differ in it alone are equal.
     """
 
     request_id: str
     retry_after_us: int = 0
+    reason: UnservedReason = field(default=UnservedReason.UNKNOWN, compare=False)
 
 
 @dataclass(slots=True, frozen=True)
 class Fail:
-    """Answer a request finally: it failed, and may or may not have been executed."""
+    """Answer a request finally: it failed, and may or may not have been executed.
+
+    Attributes:
+        request_id: The request that fails.
+        reason: For the log; actions that differ in it alone are equal.
+    """
 
     request_id: str
+    reason: UnservedReason = field(default=UnservedReason.UNKNOWN, compare=False)
 
 
 @dataclass(slots=True, frozen=True)
--- a/load_balancer/decisions/balancer.py
+++ b/load_balancer/decisions/balancer.py
@@ -29,7 +29,7 @@
 
 import random
 
-from load_balancer.decisions.actions import Action, Fail
+from load_balancer.decisions.actions import Action, Fail, UnservedReason
 from load_balancer.decisions.admission import AdmissionControl
 from load_balancer.decisions.circuit_breaker import BreakerRegistry
 from load_balancer.decisions.concurrency_limit import ConcurrencyLimit
@@ -177,7 +177,7 @@
         requests[request.id] = request
         self.arrivals.note_arrival(context.now_us)
         if self.admission.should_shed(request, self.endpoints.any_breaker_closed):
-            self.lifecycle.answer_unserved(request)
+            self.lifecycle.answer_unserved(request, UnservedReason.LOAD_SHED)
         else:
             self.lifecycle.start(request)
 
--- a/load_balancer/decisions/request_lifecycle.py
+++ b/load_balancer/decisions/request_lifecycle.py
@@ -4,7 +4,7 @@
 
 from functools import partial
 
-from load_balancer.decisions.actions import Action, Fail, Reject
+from load_balancer.decisions.actions import Action, Fail, Reject, UnservedReason
 from load_balancer.decisions.admission import AdmissionControl
 from load_balancer.decisions.context import Context
 from load_balancer.decisions.dispatcher import Dispatcher
@@ -63,16 +63,16 @@
     def start(self, request: Request) -> None:
         """Send an admitted request, or queue it behind others with the same key."""
         if not (self._enqueue_if_ordered(request) or self._send(request)):
-            self.answer_unserved(request)
+            self.answer_unserved(request, UnservedReason.NO_ENDPOINT)
 
-    def answer_unserved(self, request: Request) -> None:
+    def answer_unserved(self, request: Request, reason: UnservedReason) -> None:
         """Answer a request that gets no further attempt: reject it if a retry is safe, else fail it."""
         if request.answered:
             return
         if may_reject(request):
-            self._actions.append(Reject(request.id, self._retry_after_us(request)))
+            self._actions.append(Reject(request.id, self._retry_after_us(request), reason))
         else:
-            self._actions.append(Fail(request.id))
+            self._actions.append(Fail(request.id, reason))
         self.finish(request)
 
     def finish(self, request: Request) -> None:
@@ -142,8 +142,10 @@
         shed_share = self._admission.shed_share
         now_us = self._context.now_us
         may_retry = self._retry_budget.may_retry(request, needs_token, now_us, shed_share)
-        if not may_retry or not self._send(request):
-            self.answer_unserved(request)
+        if not may_retry:
+            self.answer_unserved(request, UnservedReason.NO_RETRY)
+        elif not self._send(request):
+            self.answer_unserved(request, UnservedReason.NO_ENDPOINT)
         elif needs_token:
             self._retry_budget.withdraw()
 
@@ -160,21 +162,21 @@
         min_latency_us = int(request.unloaded_us)
         wait_until_us = request.wait_until_us(now_us)
         if ready_us + min_latency_us > wait_until_us:
-            self.answer_unserved(request)
+            self.answer_unserved(request, UnservedReason.KEY_QUEUE)
         else:
             self._timers.set(wait_until_us - min_latency_us, partial(self._on_queue_timeout, request))
         return True
 
     def _on_queue_timeout(self, request: Request) -> None:
         if not request.attempts:
-            self.answer_unserved(request)
+            self.answer_unserved(request, UnservedReason.KEY_QUEUE)
 
     def _advance_queue(self, queue: KeyQueue) -> None:
         """Send the next request of an ordered key, if it may be sent now."""
         now_us = self._context.now_us
         while (request := self.ordered_keys.next_ready(queue, now_us)) is not None:
             if not self._send(request):
-                self.answer_unserved(request)
+                self.answer_unserved(request, UnservedReason.NO_ENDPOINT)
         self.ordered_keys.drop_if_idle(queue, now_us)
 
     def _retry_after_us(self, request: Request) -> int:
--- a/load_balancer/gateway/attempt_sender.py
+++ b/load_balancer/gateway/attempt_sender.py
@@ -9,8 +9,10 @@
 from load_balancer.decisions.actions import Send
 from load_balancer.decisions.events import NEVER_EXECUTED, AttemptEnded, Event, LoadReport, Outcome
 from load_balancer.gateway.clock import Clock
+from load_balancer.gateway.event_log import log_event
 from load_balancer.gateway.http_message import Response
 from load_balancer.gateway.load_reports import parse_load_report_header
+from load_balancer.gateway.log_fields import LogFieldResolver
 from load_balancer.gateway.request_tracker import PendingRequest, RequestTracker
 from load_balancer.gateway.upstream_pool import EndpointId, UpstreamPool
 
@@ -64,6 +66,7 @@
         upstream: UpstreamPool,
         clock: Clock,
         dispatch: Callable[[Event], None],
+        log_fields: LogFieldResolver,
         *,
         reads_load_reports: bool,
     ) -> None:
@@ -72,6 +75,7 @@
         self._upstream = upstream
         self._clock = clock
         self._dispatch = dispatch
+        self._log_fields = log_fields
 
     def send(self, request: PendingRequest, action: Send) -> None:
         """Start an attempt, or report it as not sent.
@@ -100,6 +104,9 @@
             )
             return
         request.attempts_in_flight += 1
+        if number > 0:
+            fields = self._log_fields.for_request(request, endpoint_id=action.endpoint_id, attempt=number)
+            log_event("attempt.retried", **fields)
         write_by_us = action.write_by_us
         attempt = self._upstream.send(
             action.endpoint_id,
@@ -115,6 +122,8 @@
         request.attempts_in_flight -= 1
         request.may_have_run = request.may_have_run or self._may_have_run(request, outcome)
         latency_us = self._clock.now_us() - sent.sent_us
+        if outcome is not Outcome.OK:
+            self._log_failure(sent, outcome, latency_us)
         if outcome is Outcome.OK and response is not None:
             self._request_tracker.answer(request, response)
         self._dispatch(
@@ -130,6 +139,12 @@
         )
         self._request_tracker.remove_if_finished(request)
 
+    def _log_failure(self, sent: SentAttempt, outcome: Outcome, latency_us: int) -> None:
+        fields = self._log_fields.for_request(
+            sent.request, endpoint_id=sent.endpoint_id, attempt=sent.number, outcome=outcome.value
+        )
+        log_event("attempt.failed", latency_ms=latency_us // 1000, **fields)
+
     @staticmethod
     def _may_have_run(request: PendingRequest, outcome: Outcome) -> bool:
         if outcome is Outcome.REJECTED:
--- a/load_balancer/gateway/client_connection.py
+++ b/load_balancer/gateway/client_connection.py
@@ -9,7 +9,8 @@
 
 from load_balancer.gateway.buffer_budget import BufferReservation
 from load_balancer.gateway.client_connection_owner import ClientConnectionOwner
-from load_balancer.gateway.event_log import log_buffers_exhausted, log_event
+from load_balancer.gateway.close_reasons import ClientCloseReason
+from load_balancer.gateway.event_log import log_buffers_exhausted, log_event, log_refusal
 from load_balancer.gateway.http_message import BODY_LIMIT, HttpRequestError, Response, text_response
 from load_balancer.gateway.incoming_request import IncomingRequest, RequestReader
 from load_balancer.gateway.lingering_close import LingeringClose
@@ -198,7 +199,7 @@
             try:
                 self._serve(incoming)
             except HttpRequestError as error:
-                self._answer(incoming, error.response)
+                self._refuse(incoming, error)
             except Exception as error:
                 log_event("request.failed", error=error)
                 self._answer(incoming, text_response(500, "internal error"))
@@ -207,7 +208,7 @@
         owner = self._owner
         if incoming.rejection is not None:
             # Not raised: its traceback would refer to the request, and keep both in memory.
-            self._answer(incoming, incoming.rejection.response)
+            self._refuse(incoming, incoming.rejection)
             return
         if incoming.target.partition(b"?")[0] == READINESS_PATH:
             if not owner.proxy.is_ready or owner.draining:
@@ -227,6 +228,10 @@
         if pending is not None and not pending.is_closed:
             self._pending = pending
 
+    def _refuse(self, incoming: IncomingRequest, error: HttpRequestError) -> None:
+        log_refusal(error.response)
+        self._answer(incoming, error.response)
+
     def _answer(self, incoming: IncomingRequest, response: Response) -> None:
         if incoming is not self.current:  # the client has disconnected, or the request has been answered
             return
@@ -249,29 +254,38 @@
 
     # Closing
 
-    def close_when_idle(self, loop_iterations: int = 2) -> None:
+    def close_when_idle(self, reason: ClientCloseReason, loop_iterations: int = 2) -> None:
         """Close after some iterations of the loop, in which a request already in the socket is read first."""
         self.is_closing_when_idle = loop_iterations > 0
         if loop_iterations > 0:
-            self._owner.loop.call_soon(self.close_when_idle, loop_iterations - 1)
+            self._owner.loop.call_soon(self.close_when_idle, reason, loop_iterations - 1)
         elif self.is_idle:
             if self.is_over_limit:
                 self.write(TOO_MANY_CONNECTIONS.encode(close=True))
-            self.close()
+            self.close(reason)
 
-    def close(self) -> None:
+    def close(self, reason: ClientCloseReason = ClientCloseReason.SHUTDOWN) -> None:
         """Close once all that was written is sent."""
         self.reader.stop()
         if self.transport is not None:
+            self._log_close(reason)
             self.transport.close()
 
-    def abort(self) -> None:
+    def abort(self, reason: ClientCloseReason = ClientCloseReason.SHUTDOWN) -> None:
         """Close at once."""
         if self.transport is not None:
+            self._log_close(reason)
             self.transport.abort()
             self.count_buffered()
 
+    def _log_close(self, reason: ClientCloseReason) -> None:
+        """Log the first reason for which the gateway closes the connection."""
+        is_closing = self.is_lingering or (self.transport is not None and self.transport.is_closing())
+        if not is_closing:
+            log_event("client_connection.closed", reason=reason.value)
+
     def _begin_lingering_close(self) -> None:
+        self._log_close(ClientCloseReason.ANSWERED)
         self.reader.stop()
         self.is_lingering = True
         if self.transport is not None and not self.transport.is_closing():
--- a/load_balancer/gateway/client_server.py
+++ b/load_balancer/gateway/client_server.py
@@ -8,6 +8,7 @@
 from load_balancer.config.gateway_config import Config
 from load_balancer.config.steps import run_to_completion
 from load_balancer.gateway.client_connection import TOO_MANY_CONNECTIONS, ClientConnection
+from load_balancer.gateway.close_reasons import ClientCloseReason
 from load_balancer.gateway.event_log import log_buffers_exhausted
 from load_balancer.gateway.http_message import HttpRequestError
 from load_balancer.gateway.read_scheduler import ReadScheduler
@@ -117,10 +118,11 @@
                 and not open_connection.reader.has_read_request
             ]
         if evictable:
-            min(evictable, key=attrgetter("last_activity")).close_when_idle()
+            oldest = min(evictable, key=attrgetter("last_activity"))
+            oldest.close_when_idle(ClientCloseReason.CONNECTION_LIMIT)
         if excess >= MAX_REJECTED_CONNECTIONS + (EVICTION_HEADROOM_CONNECTIONS if evictable else 0):
             connection.write(TOO_MANY_CONNECTIONS.encode(close=True))
-            connection.close()
+            connection.close(ClientCloseReason.CONNECTION_LIMIT)
 
     # Memory
 
@@ -148,7 +150,7 @@
         if not unread:
             return False
         log_buffers_exhausted(self.proxy.buffers, "the connection of an answer that is not read was closed")
-        max(unread, key=lambda each: each.reservation.size).abort()
+        max(unread, key=lambda each: each.reservation.size).abort(ClientCloseReason.UNREAD_ANSWER)
         return True
 
     # Timeouts
@@ -161,7 +163,7 @@
                 connection.count_buffered()  # answers may have left the process
             if connection.is_idle:
                 if self._is_past_idle_timeout(connection, now):
-                    connection.close_when_idle()
+                    connection.close_when_idle(ClientCloseReason.IDLE)
             elif (
                 connection.has_only_partial_request
                 and now - connection.reader.began_at > REQUEST_READ_TIMEOUT_S
@@ -206,7 +208,7 @@
         if waited_s > UNREAD_ANSWER_GRACE_S and not connection.has_pending_answer:
             connection.abort()
         elif connection.is_idle:
-            connection.close_when_idle()
+            connection.close_when_idle(ClientCloseReason.SHUTDOWN)
         elif connection.has_only_partial_request and waited_s > PARTIAL_REQUEST_GRACE_S:
             # Answered rather than closed: a close would lose the rest if it has just arrived.
             connection.reject_partial_request(HttpRequestError(503, "ending; trying again is harmless"))
--- a/load_balancer/gateway/discovery.py
+++ b/load_balancer/gateway/discovery.py
@@ -137,6 +137,11 @@
                 self.poll()
             self._polls.discard(call)
 
+    @property
+    def index(self) -> int:
+        """Position in discovery's log of changes that the list in force has."""
+        return self._index
+
     # CallListener
 
     def on_call_answered(self, call: DiscoveryCall) -> None:
--- a/load_balancer/gateway/event_log.py
+++ b/load_balancer/gateway/event_log.py
@@ -19,6 +19,7 @@
 from structlog.typing import EventDict, WrappedLogger
 
 from load_balancer.gateway.buffer_budget import BufferBudget
+from load_balancer.gateway.http_message import Response
 from load_balancer.gateway.log_events import EVENTS, RegisteredEvent
 from load_balancer.gateway.log_events_page import render_page
 from load_balancer.gateway.repeat_counter import Fields, RepeatCounter
@@ -60,6 +61,11 @@
     )
 
 
+def log_refusal(response: Response) -> None:
+    """Log that a request which the balancer has not seen is answered with an error."""
+    log_event("request.refused", status=response.status, reason=response.body.decode().strip())
+
+
 def flush() -> None:
     """Log the repeats that have been counted but not logged."""
     _repeat_counter.flush()
--- a/load_balancer/gateway/log_events.py
+++ b/load_balancer/gateway/log_events.py
@@ -6,6 +6,8 @@
 from logging import ERROR, INFO, WARNING
 from string import Formatter
 
+from load_balancer.gateway.log_event_fields import REQUEST_FIELDS
+
 # How many different events are counted separately at a time: the bound on memory and output where the values
 # of events never repeat.
 MAX_COUNTED_KEYS = 64
@@ -39,35 +41,6 @@
         return {name for _, name, _, _ in Formatter().parse(self.sentence) if name}
 
 
-REQUEST_FIELDS = ("request_id", "request_class", "tenant", "settings_version")
-COMMON_FIELDS = ("repeated", "exception")
-FIELDS = {
-    "address": "address of the endpoint or of discovery, as host:port",
-    "buffer_limit_bytes": "how many bytes messages may take on all connections together",
-    "buffered_bytes": "how many bytes messages that are being received, served or sent take",
-    "consequence": "what was done with the message that exceeded the limit",
-    "cooldown_s": "seconds until the circuit breaker becomes half-open and admits trial requests",
-    "endpoint_id": "the endpoint's number: a hash of its name, the same at every gateway",
-    "entry": "the entry of the endpoint list as received, cut to 200 characters",
-    "error": "the text of the error; for errors of the gateway itself, the exception with its type",
-    "event_counts": "the names of the events that were counted, each with its count",
-    "exception": "the traceback",
-    "listen": "the address at which the gateway accepts connections from clients",
-    "logger": "the name of the library's logger",
-    "message": "what a library logged",
-    "name": "the gateway's name in its configuration",
-    "payload": "the message of discovery as received, cut to 200 characters",
-    "reason": "why the call to discovery failed",
-    "repeated": "repeats of the event since it was last written; the other fields are those of the last one",
-    "request_class": "the request's class, by name",
-    "request_id": "the request's number, counted from the gateway's start",
-    "settings_digest": "the first hexadecimal digits of the digest of the settings",
-    "settings_version": "the number of the settings in force; for a request, those in force when it arrived",
-    "state": "the new state of the circuit breaker",
-    "subject": "the event or action that failed, cut to 300 characters",
-    "suppressed": "number of lines suppressed since the balancer's last one; it logs at most one per 100 ms",
-    "tenant": "the request's tenant, by name",
-}
 EVENTS = {
     event.name: event
     for event in (
@@ -76,7 +49,7 @@
             INFO,
             "{name} listens on {listen}",
             "The gateway has started and accepts requests.",
-            ("name", "listen", "settings_version"),
+            ("name", "listen", "settings_version", "index", "ready"),
         ),
         RegisteredEvent(
             "config.invalid",
@@ -162,6 +135,21 @@
             ("endpoint_id", "address", "state", "cooldown_s", "suppressed", *REQUEST_FIELDS),
             ("endpoint_id", "request_class", "tenant"),
         ),
+        RegisteredEvent(
+            "endpoint_list.applied",
+            INFO,
+            "applied a list of {endpoints} endpoints ({list_kind}) at index {index}: {ready} ready",
+            "A complete list or a change of discovery is in force.",
+            ("list_kind", "index", "endpoints", "ready"),
+            ("list_kind",),
+        ),
+        RegisteredEvent(
+            "endpoint_list.none_ready",
+            WARNING,
+            "no endpoint is ready at index {index}",
+            "Discovery lists no endpoint that requests may be sent to; they are answered 503 until it does.",
+            ("index",),
+        ),
         RegisteredEvent(
             "endpoint_list.unavailable",
             INFO,
@@ -169,6 +157,54 @@
             "A call of the balancer to discovery failed; the balancer repeats it.",
             ("suppressed",),
         ),
+        RegisteredEvent(
+            "request.unserved",
+            INFO,
+            "request {request_id} is answered {status}: {reason}",
+            "The balancer answered a request that no endpoint has served.",
+            ("status", "reason", *REQUEST_FIELDS),
+            ("status", "reason", "request_class"),
+        ),
+        RegisteredEvent(
+            "request.refused",
+            INFO,
+            "a request is answered {status}: {reason}",
+            "A request was answered with an error without asking the balancer: malformed, or over a limit.",
+            ("status", "reason"),
+            ("status", "reason"),
+        ),
+        RegisteredEvent(
+            "attempt.failed",
+            INFO,
+            "attempt {attempt} of request {request_id} ended after {latency_ms} ms: {outcome}",
+            "An attempt ended without a successful answer.",
+            ("attempt", "outcome", "latency_ms", "endpoint_id", "address", *REQUEST_FIELDS),
+            ("endpoint_id", "outcome"),
+        ),
+        RegisteredEvent(
+            "attempt.retried",
+            INFO,
+            "request {request_id} is sent again as attempt {attempt}",
+            "A request is sent to a further endpoint, after a failed attempt or as a hedged request.",
+            ("attempt", "endpoint_id", "address", *REQUEST_FIELDS),
+            ("endpoint_id",),
+        ),
+        RegisteredEvent(
+            "upstream_connection.closed",
+            INFO,
+            "closed a connection to an endpoint: {reason}",
+            "The gateway or the endpoint closed a connection; each is counted once, by its first reason.",
+            ("reason",),
+            ("reason",),
+        ),
+        RegisteredEvent(
+            "client_connection.closed",
+            INFO,
+            "closed a connection of a client: {reason}",
+            "The gateway closed a connection of a client; connections that clients close have no event.",
+            ("reason",),
+            ("reason",),
+        ),
         RegisteredEvent(
             "request.duplicate_id",
             INFO,
@@ -253,34 +289,3 @@
         ),
     )
 }
-
-# Names in the logs of earlier versions and the names that replace them, for searches in older logs.
-RENAMED_EVENTS = {
-    "gateway.listens": "gateway.listening",
-    "config.refused": "config.invalid",
-    "config.taken_over": "config.applied",
-    "config.same": "config.unchanged",
-    "config.kept": "config.rejected",
-    "discovery.moved": "discovery.address_changed",
-    "breaker.changed": "circuit_breaker.changed",
-    "list.unread": "endpoint_list.unavailable",
-    "request.repeated_id": "request.duplicate_id",
-    "balancer.unsaid": "balancer.suppressed",
-    "request.unanswered": "request.deadline_exceeded",
-    "attempt.unowned": "attempt.orphaned",
-    "library.said": "library.message",
-    "log.others": "log.overflow",
-}
-RENAMED_FIELDS = {
-    "class": "request_class",
-    "content": "settings_digest",
-    "events": "event_counts",
-    "generation": "settings_version",
-    "line": "message",
-    "request": "request_id",
-    "server": "endpoint_id",
-    "text": "payload",
-    "unsaid": "suppressed",
-    "what": "subject",
-    "why": "reason",
-}
--- a/load_balancer/gateway/log_events_page.py
+++ b/load_balancer/gateway/log_events_page.py
@@ -5,14 +5,8 @@
 from collections.abc import Sequence
 from logging import getLevelName
 
-from load_balancer.gateway.log_events import (
-    EVENTS,
-    FIELDS,
-    MAX_COUNTED_KEYS,
-    RENAMED_EVENTS,
-    RENAMED_FIELDS,
-    RegisteredEvent,
-)
+from load_balancer.gateway.log_event_fields import FIELDS, RENAMED_EVENTS, RENAMED_FIELDS
+from load_balancer.gateway.log_events import EVENTS, MAX_COUNTED_KEYS, RegisteredEvent
 
 INTRODUCTION = f"""# What the gateway logs
 
--- a/load_balancer/gateway/log_fields.py
+++ b/load_balancer/gateway/log_fields.py
@@ -53,9 +53,9 @@
             resolved["address"] = address.decode()
         return resolved
 
-    def for_request(self, request: PendingRequest) -> dict[str, object]:
-        """Return the fields of a request."""
-        return self.resolve(_request_fields(request.id, request).items())
+    def for_request(self, request: PendingRequest, **fields: object) -> dict[str, object]:
+        """Return the fields of a request, and further ones with the balancer's ids resolved."""
+        return self.resolve((_request_fields(request.id, request) | fields).items())
 
     def for_subject(self, subject: object, pending: Mapping[str, PendingRequest]) -> dict[str, object]:
         """Return the fields of the request and the endpoint that an event or an action concerns, if known."""
@@ -71,9 +71,15 @@
     client_request = request.client_request
     fields: dict[str, object] = {
         "request_id": request_id,
+        "client_request_id": client_request_id(request),
         "request_class": names.classes[client_request.request_class],
         "settings_version": request.settings_version.number,
     }
     if names.tenants:
         fields["tenant"] = names.tenants[client_request.tenant]
     return fields
+
+
+def client_request_id(request: PendingRequest) -> str:
+    """Return the id that the client gave a request."""
+    return request.client_request.id.decode("latin-1")
--- a/load_balancer/gateway/reverse_proxy.py
+++ b/load_balancer/gateway/reverse_proxy.py
@@ -40,10 +40,11 @@
 from load_balancer.gateway.buffer_budget import BufferBudget
 from load_balancer.gateway.client_request import ClientRequest
 from load_balancer.gateway.clock import Clock
+from load_balancer.gateway.decision_log import DecisionLog
 from load_balancer.gateway.discovery import DiscoveryClient
 from load_balancer.gateway.discovery_messages import WatchEvent
 from load_balancer.gateway.event_dispatcher import EventDispatcher
-from load_balancer.gateway.event_log import log_event
+from load_balancer.gateway.event_log import log_event, log_refusal
 from load_balancer.gateway.health_checks import HealthChecker
 from load_balancer.gateway.http_message import Response, text_response
 from load_balancer.gateway.log_fields import LogFieldResolver
@@ -97,11 +98,13 @@
             config.names, lambda: self.settings_version, self.upstream.authority
         )
         self.request_tracker = RequestTracker(loop, self.clock, self.dispatch, self._log_fields.for_request)
+        self._decision_log = DecisionLog(self.request_tracker, self._log_fields)
         self._attempts = AttemptSender(
             self.request_tracker,
             self.upstream,
             self.clock,
             self.dispatch,
+            self._log_fields,
             reads_load_reports=settings.load_reports.mode is LoadReportMode.RESPONSES,
         )
         self._health_checks = HealthChecker(self.upstream, self.clock, self.dispatch)
@@ -178,11 +181,9 @@
                 delay_us = action.due_us - self.clock.now_us()
                 self.loop.call_later(max(0, delay_us) / 1e6, self.dispatch, TimerFired(action.token))
             case Reject():
-                self.request_tracker.answer_by_id(
-                    action.request_id, rejection_response(action.retry_after_us)
-                )
+                self._answer_unserved(action, rejection_response(action.retry_after_us))
             case Fail():
-                self.request_tracker.answer_by_id(action.request_id, text_response(502, "failed"))
+                self._answer_unserved(action, text_response(502, "failed"))
             case Cancel():
                 self._cancel(action)
             case _:
@@ -202,7 +203,13 @@
             case SendPeerMessage():
                 self._send_to_peers(action)
             case LogEvent():
-                log_event(action.event, **self._log_fields.resolve(action.fields))
+                self._decision_log.log_decision(action)
+
+    def _answer_unserved(self, action: Reject | Fail, response: Response) -> None:
+        request = self.request_tracker.get(action.request_id)
+        if request is not None:
+            self._decision_log.log_unserved(request, response.status, action.reason)
+            self.request_tracker.answer_by_id(action.request_id, response)
 
     def _send(self, action: Send) -> None:
         request = self.request_tracker.get(action.request_id)
@@ -245,23 +252,29 @@
         left may come again with the same one.
         """
         if 0 < self.settings.max_open_requests <= self.request_tracker.unanswered:
-            send_answer(text_response(503, "too many requests"))
+            self._refuse(send_answer, text_response(503, "too many requests"))
             return None
         version = self.settings_version
         if self.request_tracker.is_repeat(client_request, version):
-            send_answer(text_response(409, "a request with this id may have run"))
+            self._refuse(send_answer, text_response(409, "a request with this id may have run"))
             return None
         names = self._log_fields.names
         request = self.request_tracker.accept(client_request, version, names, send_answer, has_disconnected)
         self.dispatch(request.arrival_event())
         return request
 
+    @staticmethod
+    def _refuse(send_answer: AnswerCallback, response: Response) -> None:
+        log_refusal(response)
+        send_answer(response)
+
     def on_watch_event(self, event: WatchEvent) -> None:
         """Apply a message of discovery to the connection pools, and pass it to the balancer."""
         if event.kind in (ListKind.COMPLETE, ListKind.CACHED):
             self.upstream.drain_unlisted(listed.endpoint.id for listed in event.endpoints)
         for listed in event.endpoints:
             self.upstream.update_endpoint(listed.endpoint.id, listed.address, listed.endpoint.status)
+        self._decision_log.log_list(event, self.upstream.ready_count)
         self.dispatch(event.to_balancer_event())
 
     def _on_peer_message(self, data: bytes, sender: Address) -> None:
--- a/load_balancer/gateway/upstream_connection.py
+++ b/load_balancer/gateway/upstream_connection.py
@@ -10,7 +10,8 @@
 from load_balancer.config.addresses import Address
 from load_balancer.errors import LoadBalancerError
 from load_balancer.gateway.buffer_budget import BufferBudget, BufferReservation
-from load_balancer.gateway.event_log import log_buffers_exhausted
+from load_balancer.gateway.close_reasons import UpstreamCloseReason
+from load_balancer.gateway.event_log import log_buffers_exhausted, log_event
 from load_balancer.gateway.http_message import (
     BODY_LIMIT,
     HEAD_LIMIT,
@@ -98,24 +99,24 @@
             async with asyncio.timeout(timeout_s):
                 await loop.create_connection(lambda: self, *address)
         except (OSError, TimeoutError, ValueError):  # ValueError: malformed host name
-            self._discard()
+            self._discard(UpstreamCloseReason.CONNECT_FAILED)
             attempt.connection_lost()
         finally:
             self._connect_task = None
 
-    def abort(self) -> None:
+    def abort(self, reason: UpstreamCloseReason = UpstreamCloseReason.ATTEMPT_ABANDONED) -> None:
         """Close at once without ending the attempt on it."""
         self.attempt = None
-        self._discard()
+        self._discard(reason)
         if self._connect_task is not None:
             self._connect_task.cancel()
         if self.transport is not None:
             self.transport.abort()
 
-    def fail(self) -> None:
+    def fail(self, reason: UpstreamCloseReason) -> None:
         """Close at once and end the attempt on it as if the connection had broken."""
         attempt = self.attempt
-        self.abort()
+        self.abort(reason)
         if attempt is not None:
             attempt.connection_lost()
 
@@ -128,12 +129,12 @@
         self.transport.set_write_buffer_limits(high=0)
         attempt = self.attempt
         if attempt is None or attempt.request is None:
-            self.abort()
+            self.abort(UpstreamCloseReason.REQUEST_OVER)
         elif attempt.request.may_be_written():
             self.write(attempt)
         else:
             attempt.abandon_unless_written()
-            self.abort()
+            self.abort(UpstreamCloseReason.REQUEST_OVER)
 
     def write(self, attempt: UpstreamAttempt) -> None:
         """Send an attempt on an open connection that carries no other.
@@ -166,18 +167,18 @@
         """Parse a part of a response."""
         attempt, parser = self.attempt, self._parser
         if attempt is None or parser is None:  # bytes without a request
-            self.abort()
+            self.abort(UpstreamCloseReason.UNEXPECTED_BYTES)
             return
         self._received_bytes += len(data)
         try:
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.fail()
+            self.fail(UpstreamCloseReason.MALFORMED_RESPONSE)
             return
         if self._is_complete:
             self._end_attempt(attempt, parser.get_status_code())
         elif self._received_bytes > RESPONSE_LIMIT:
-            self.fail()
+            self.fail(UpstreamCloseReason.MALFORMED_RESPONSE)
         else:
             self._count_buffered()
 
@@ -187,7 +188,7 @@
         self._reservation.resize(self._received_bytes + header_overhead_bytes)
         if self._buffers.is_exhausted:
             log_buffers_exhausted(self._buffers, "a response was dropped")
-            self.fail()
+            self.fail(UpstreamCloseReason.BUFFERS_EXHAUSTED)
 
     def eof_received(self) -> bool:
         """End a response without a length, of which this is the end; the transport closes itself.
@@ -205,12 +206,14 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the attempt, if there is one."""
         del exc
-        self._discard()
+        self._discard(UpstreamCloseReason.LOST)
         if self.attempt is not None:
             self.attempt.connection_lost()
 
-    def _discard(self) -> None:
-        """Remove it from the pool and free what was received."""
+    def _discard(self, reason: UpstreamCloseReason) -> None:
+        """Remove it from the pool and free what was received; log the first reason."""
+        if self._parser is not None:
+            log_event("upstream_connection.closed", reason=reason.value)
         self.owner.discard(self)
         self._parser = None
         self._forget_response()
@@ -233,7 +236,7 @@
         if attempt.written and self._keep_alive:
             self.owner.release(self)
         else:
-            self.abort()
+            self.abort(UpstreamCloseReason.NOT_KEPT)
         attempt.response_received(response)
 
     # Callbacks of the parser, which turns their exceptions into an HttpParserError
--- a/load_balancer/gateway/upstream_pool.py
+++ b/load_balancer/gateway/upstream_pool.py
@@ -10,6 +10,7 @@
 from load_balancer.decisions.endpoint import EndpointStatus
 from load_balancer.decisions.events import Outcome
 from load_balancer.gateway.buffer_budget import BufferBudget
+from load_balancer.gateway.close_reasons import UpstreamCloseReason
 from load_balancer.gateway.upstream_attempt import AttemptCallback, OutgoingRequest, UpstreamAttempt
 from load_balancer.gateway.upstream_connection import UpstreamConnection
 
@@ -71,7 +72,7 @@
             if connection.idle_since >= now - self.timing.idle_timeout_s and connection.is_reusable():
                 self.idle.remove(connection)
                 return connection
-            connection.abort()
+            connection.abort(UpstreamCloseReason.IDLE)
         return None
 
     def connect(self, loop: asyncio.AbstractEventLoop, attempt: UpstreamAttempt) -> None:
@@ -84,7 +85,7 @@
     def release(self, connection: UpstreamConnection) -> None:
         """Keep a connection for the next request, unless the endpoint is draining."""
         if self.draining:
-            connection.abort()
+            connection.abort(UpstreamCloseReason.ENDPOINT_DRAINING)
             return
         connection.idle_since = self.timing.now()
         self.idle.append(connection)
@@ -95,20 +96,20 @@
         if connection in self.idle:
             self.idle.remove(connection)
 
-    def close_unused(self) -> None:
+    def close_unused(self, reason: UpstreamCloseReason) -> None:
         """Close unused connections, as the endpoint is draining, was removed or has a new address.
 
         Attempts that wait for a connection fail now, while there is time to try another endpoint.
         """
         for connection in list(self.open_connections):
             if connection.owner is self and connection.is_unused:
-                connection.fail()
+                connection.fail(reason)
 
     def close_idle(self, idle_since_before: float | None = None) -> None:
         """Close the idle connections, or only those that have been idle since before a loop time."""
         for connection in list(self.idle):
             if idle_since_before is None or connection.idle_since < idle_since_before:
-                connection.abort()
+                connection.abort(UpstreamCloseReason.IDLE)
 
 
 class UpstreamPool:
@@ -154,17 +155,22 @@
             endpoint = EndpointPool(address, self.timing, self.buffers, self.connections)
             self.endpoints[endpoint_id] = endpoint
         if endpoint.address != address:
-            endpoint.close_unused()
+            endpoint.close_unused(UpstreamCloseReason.ADDRESS_CHANGED)
             endpoint.address = address
         endpoint.draining = status is not EndpointStatus.READY
         if endpoint.draining:
-            endpoint.close_unused()
+            endpoint.close_unused(UpstreamCloseReason.ENDPOINT_DRAINING)
 
     def drain_unlisted(self, listed: Iterable[EndpointId]) -> None:
         """Drain every endpoint that a complete list does not name."""
         for endpoint_id in self.endpoints.keys() - set(listed):
             self.endpoints[endpoint_id].draining = True
-            self.endpoints[endpoint_id].close_unused()
+            self.endpoints[endpoint_id].close_unused(UpstreamCloseReason.ENDPOINT_DRAINING)
+
+    @property
+    def ready_count(self) -> int:
+        """Number of endpoints that requests may be sent to."""
+        return sum(not endpoint.draining for endpoint in self.endpoints.values())
 
     def authority(self, endpoint_id: EndpointId) -> bytes:
         """Return an endpoint's address as host:port; empty if it is unknown."""
@@ -231,12 +237,12 @@
     def close(self) -> None:
         """Close every connection."""
         for connection in list(self.connections):
-            connection.abort()
+            connection.abort(UpstreamCloseReason.SHUTDOWN)
 
     def _close_oldest_idle(self) -> bool:
         """Close the connection that has been idle longest; return False if none is idle."""
         oldest = [endpoint.idle[0] for endpoint in self.endpoints.values() if endpoint.idle]
         if not oldest:
             return False
-        min(oldest, key=lambda connection: connection.idle_since).abort()
+        min(oldest, key=lambda connection: connection.idle_since).abort(UpstreamCloseReason.CONNECTION_LIMIT)
         return True
--- a/tests/gateway/test_event_log.py
+++ b/tests/gateway/test_event_log.py
@@ -14,15 +14,8 @@
 from load_balancer.decisions.events import Event, RequestArrived
 from load_balancer.gateway import event_log
 from load_balancer.gateway.event_log import make_formatter
-from load_balancer.gateway.log_events import (
-    COMMON_FIELDS,
-    EVENTS,
-    FIELDS,
-    MAX_COUNTED_KEYS,
-    RENAMED_EVENTS,
-    RENAMED_FIELDS,
-    RegisteredEvent,
-)
+from load_balancer.gateway.log_event_fields import COMMON_FIELDS, FIELDS, RENAMED_EVENTS, RENAMED_FIELDS
+from load_balancer.gateway.log_events import EVENTS, MAX_COUNTED_KEYS, RegisteredEvent
 from load_balancer.gateway.log_events_page import render_page
 from load_balancer.gateway.repeat_counter import Fields, RepeatCounter
 from tests.gateway.configurations import configuration, settings
