Apply a complete list without entries: every endpoint has been removed

Callers saw answers from, and lost requests at, endpoints that had been removed 2.6 s before the grace was over. Cause: parse_list rejected a complete list that would remove every cached endpoint, and the client of discovery dropped it like noise and asked for nothing. An empty list is legible and complete: what it does not name is gone.

The fix: only a list with entries of which none can be read is still rejected.

--- a/load_balancer/gateway/discovery_messages.py
+++ b/load_balancer/gateway/discovery_messages.py
@@ -123,8 +123,8 @@
         cached: The endpoints known so far, by name.
 
     Raises:
-        DiscoveryFormatError: If the message is not a list, or is a complete list that would remove every
-            cached endpoint.
+        DiscoveryFormatError: If the message is not a list, or is a complete list of which no entry can be
+            read while endpoints are known. Without entries it is valid: every endpoint has been removed.
     """
     if not isinstance(raw, dict) or not isinstance(raw.get("endpoints"), list):
         raise DiscoveryFormatError("a list without endpoints")
@@ -133,8 +133,8 @@
     fallback = cached if is_complete else {}
     parsed = [_parse_or_fall_back(item, names, fallback) for item in raw["endpoints"]]
     endpoints = tuple(entry for entry in parsed if entry is not None)
-    if is_complete and cached and not endpoints:
-        raise DiscoveryFormatError("a complete list without an endpoint")
+    if is_complete and cached and raw["endpoints"] and not endpoints:
+        raise DiscoveryFormatError("a complete list without a readable endpoint")
     return WatchEvent(complete_kind if is_complete else ListKind.DELTA, endpoints, _parse_index(raw))
 
 
