Keep a gateway ready while discovery lists no endpoint

Found on the path of an empty list: once the removed endpoints' pools were swept, /health/ready was answered 503. A gateway that is started while no endpoint is listed would then count as a failed start, and clients of its zone would find no gateway, although it knows the list and answers each request at once with a harmless 503. Readiness now means that a list is known, and stays. A gateway that knows no endpoint and has heard nothing from discovery is still not ready. Both cases of the new test fail without the change.

--- a/load_balancer/gateway/reverse_proxy.py
+++ b/load_balancer/gateway/reverse_proxy.py
@@ -70,6 +70,8 @@
         upstream: Connections to endpoints.
         discovery: Client of service discovery.
         peers: Messages to and from other gateways.
+        is_ready: Whether an endpoint has been known or discovery has sent a complete list. It stays set while
+            no endpoint is listed, as requests are then rejected at once.
     """
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
@@ -94,6 +96,7 @@
             loop, config.discovery, config.names, settings.endpoints_are_pushed, self.on_watch_event
         )
         self.peers = PeerChannel(self._on_peer_message)
+        self.is_ready = False
         self._log_fields = LogFieldResolver(
             config.names, lambda: self.settings_version, self.upstream.authority
         )
@@ -136,11 +139,6 @@
         self.upstream.close()
         self.peers.close()
 
-    @property
-    def is_ready(self) -> bool:
-        """Whether any endpoint is known."""
-        return bool(self.upstream.endpoints)
-
     # Settings
 
     @property
@@ -270,6 +268,8 @@
 
     def on_watch_event(self, event: WatchEvent) -> None:
         """Apply a message of discovery to the connection pools, and pass it to the balancer."""
+        if event.endpoints or event.kind is ListKind.COMPLETE:
+            self.is_ready = True
         if event.kind in (ListKind.COMPLETE, ListKind.CACHED):
             self.upstream.drain_unlisted(listed.endpoint.id for listed in event.endpoints)
         for listed in event.endpoints:
--- a/tests/gateway/test_empty_endpoint_list.py
+++ b/tests/gateway/test_empty_endpoint_list.py
@@ -12,7 +12,9 @@
 
 import pytest
 
+from load_balancer.decisions.endpoint import ListKind
 from tests.gateway.configurations import configuration, settings
+from tests.gateway.discovery_helpers import gateway_with_watch, next_list
 from tests.gateway.http_client import encode_request
 from tests.gateway.process_helpers import connect, reserved_port, start_process
 from tests.gateway.stub_discovery import StubDiscovery, encode_chunk, endpoint_entry, watch_event
@@ -109,3 +111,17 @@
                     await expect_served(port, endpoint)
     assert sent_to_removed == 0
     assert set(statuses) == {503}
+
+
+@pytest.mark.parametrize("endpoint_count", [0, 1])
+async def test_a_gateway_is_ready_while_discovery_lists_no_endpoint(endpoint_count: int) -> None:
+    """A gateway that was restarted meanwhile got no clients, as if its start had failed."""
+    check = b"GET /health/ready HTTP/1.1\r\n\r\n"
+    async with gateway_with_watch(endpoint_count=endpoint_count) as (gateway, watch):
+        client = await gateway.client()
+        assert (await client.request(check))[0] == (200 if endpoint_count else 503)
+        watch.write(encode_chunk(REMOVED_FLEET))
+        assert await next_list(gateway) == (ListKind.COMPLETE, [])
+        gateway.proxy.upstream.sweep()
+        client = await gateway.client()
+        assert (await client.request(check))[0] == 200
