Fetch the complete list after a list or change that was not applied whole

The class of the fault: what discovery sent is skipped, and the gateway goes on as if it held the list. A malformed line, a line cut by the next one, or an entry that could not be read was logged and forgotten. The next change moved the index past it, so that neither the open watch nor a new one brought it again: a drain in it was never obeyed, a new endpoint never used. The same for unreadable entries of the list that a gateway starts with.

Now the balancer fetches the complete list (PollEndpoints) 50 to 100 ms after something was skipped, within the drain grace of 0.5 s, with a doubling wait up to 60 s until a complete list is applied whole, whether lists are pushed or asked for. A watch that is opened meanwhile resumes before what was skipped.

--- a/lab/simulated_gateways.py
+++ b/lab/simulated_gateways.py
@@ -44,7 +44,14 @@
 )
 from load_balancer.decisions.balancer import Balancer
 from load_balancer.decisions.endpoint import ListKind
-from load_balancer.decisions.events import AttemptEnded, Event, Outcome, RequestArrived, TimerFired
+from load_balancer.decisions.events import (
+    AttemptEnded,
+    EndpointListSkipped,
+    Event,
+    Outcome,
+    RequestArrived,
+    TimerFired,
+)
 from load_balancer.gateway.clock import Clock
 from load_balancer.gateway.discovery import DiscoveryClient
 from load_balancer.gateway.discovery_messages import WatchEvent
@@ -77,7 +84,12 @@
         self.pool = pool
         self.balancer = Balancer(config.settings, seed)
         self.discovery = DiscoveryClient(
-            pool.loop, config.discovery, config.names, config.settings.endpoints_are_pushed, self.receive
+            pool.loop,
+            config.discovery,
+            config.names,
+            config.settings.endpoints_are_pushed,
+            self.receive,
+            lambda: self.deliver(EndpointListSkipped()),
         )
         self.events: deque[Event] = deque()
         self.delivering = False
--- a/load_balancer/decisions/actions.py
+++ b/load_balancer/decisions/actions.py
@@ -95,7 +95,7 @@
 
 @dataclass(slots=True, frozen=True)
 class PollEndpoints:
-    """Fetch the complete endpoint list once; no decision returns this yet."""
+    """Fetch the complete endpoint list once."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/load_balancer/decisions/balancer.py
+++ b/load_balancer/decisions/balancer.py
@@ -42,6 +42,7 @@
     AttemptEnded,
     ClientDisconnected,
     EndpointListReceived,
+    EndpointListSkipped,
     Event,
     Outcome,
     RequestArrived,
@@ -157,6 +158,8 @@
             self._on_client_disconnected(event)
         elif isinstance(event, EndpointListReceived):
             self._on_endpoint_list(event)
+        elif isinstance(event, EndpointListSkipped):
+            self.polling.note_skipped()
         elif isinstance(event, StreamStarted):
             self._on_stream_started(event)
         elif isinstance(event, SettingsChanged):
@@ -238,7 +241,7 @@
             self.log.write(context.now_us, "endpoint_list.unavailable")
             self.polling.note_failure()
             return
-        self.polling.note_list(event.kind)
+        self.polling.note_list(event.kind, event.is_partial)
         budget_us = self.dispatcher.overload_budget_us()
         max_initial_work_us = max(context.classes.slowest.smoothed_us, budget_us / 2)
         endpoints.apply(event, context.now_us, max_initial_work_us, context.settings)
--- a/load_balancer/decisions/events.py
+++ b/load_balancer/decisions/events.py
@@ -55,10 +55,22 @@
 
 @dataclass(slots=True, frozen=True)
 class EndpointListReceived:
-    """Service discovery has returned a list, pushed a change or failed."""
+    """Service discovery has returned a list, pushed a change or failed.
+
+    Attributes:
+        kind: How the list is to be applied.
+        endpoints: Its endpoints.
+        is_partial: Whether it had entries that could not be read; the others are in `endpoints`.
+    """
 
     kind: ListKind
     endpoints: tuple[Endpoint, ...] = ()
+    is_partial: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class EndpointListSkipped:
+    """A list or change of service discovery could not be used; the previous list stays in use."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -152,6 +164,7 @@
 Event = (
     SettingsChanged
     | EndpointListReceived
+    | EndpointListSkipped
     | RequestArrived
     | AttemptEnded
     | ClientDisconnected
--- a/load_balancer/decisions/list_polling.py
+++ b/load_balancer/decisions/list_polling.py
@@ -1,10 +1,10 @@
-"""When to subscribe to the endpoint list again."""
+"""When to subscribe to the endpoint list again, and when to fetch all of it."""
 
 from __future__ import annotations
 
 from random import Random
 
-from load_balancer.decisions.actions import Action, SubscribeEndpoints
+from load_balancer.decisions.actions import Action, PollEndpoints, SubscribeEndpoints
 from load_balancer.decisions.context import Context
 from load_balancer.decisions.endpoint import ListKind
 from load_balancer.decisions.timers import Timers
@@ -16,16 +16,33 @@
 MAX_POLL_BACKOFF_US = 800_000
 FIRST_CALL_INTERVAL_SHARE = 0.1  # Share of the longest poll interval within which the first call is made.
 MAX_FIRST_CALL_DELAY_US = 1_500_000  # Bounded, as the first call may be queued, rejected and queued again.
+# Wait before the complete list is fetched because a part of a list or change was not applied. The first one
+# leaves time for an answer within the drain grace; the longest bounds the load on service discovery where an
+# entry can never be read. The wait doubles with each attempt.
+FIRST_RESYNC_WAIT_US = 100_000
+MAX_RESYNC_WAIT_US = 60_000_000
+MAX_COUNTED_RESYNCS = 10  # Bounds the exponent of the wait.
 
 
 class ListPolling:
-    """Subscribes after random waits, so that many gateways do not call at the same time.
+    """Calls service discovery after random waits, so that many gateways do not call at the same time.
 
     Attributes:
         failures: Number of calls that have failed since the last successful one.
+        needs_complete_list: Whether something that service discovery sent since the last complete list was
+            not applied, so that the list in use may differ from the one that it has.
     """
 
-    __slots__ = ("_actions", "_context", "_random", "_timers", "failures")
+    __slots__ = (
+        "_actions",
+        "_context",
+        "_is_resync_pending",
+        "_random",
+        "_resyncs",
+        "_timers",
+        "failures",
+        "needs_complete_list",
+    )
 
     def __init__(self, actions: list[Action], timers: Timers, random: Random, context: Context) -> None:
         """Use `actions` as the list to which subscriptions are appended."""
@@ -34,9 +51,17 @@
         self._random = random
         self._context = context
         self.failures = 0
+        self.needs_complete_list = False
+        self._resyncs = 0  # fetches since the last complete list that was applied whole
+        self._is_resync_pending = False
 
-    def note_list(self, kind: ListKind) -> None:
+    def note_list(self, kind: ListKind, is_partial: bool = False) -> None:
         """Note a received list; after a cached one, schedule the first call, unless lists are pushed."""
+        if is_partial:
+            self.note_skipped()
+        elif kind is ListKind.COMPLETE:
+            self.needs_complete_list = False
+            self._resyncs = 0
         settings = self._context.settings
         if kind is ListKind.CACHED and not settings.endpoints_are_pushed:
             # If many gateways started and called at the same time, most calls would be rejected.
@@ -45,8 +70,15 @@
         else:
             self.failures = 0
 
+    def note_skipped(self) -> None:
+        """Note that a list or change was not applied, and fetch the complete list until one is."""
+        self.needs_complete_list = True
+        self._schedule_resync()
+
     def note_failure(self) -> None:
         """Schedule another call, with exponential backoff and jitter."""
+        if self.needs_complete_list:
+            self._schedule_resync()
         self.failures += 1
         first_backoff_us = min(MAX_POLL_BACKOFF_US / 4, self._context.settings.max_poll_interval_us / 20)
         wait_us = min(MAX_POLL_BACKOFF_US, first_backoff_us * 2 ** min(self.failures - 1, 3))
@@ -55,6 +87,20 @@
     def _subscribe_after(self, delay_us: float) -> None:
         self._timers.set(self._context.now_us + int(delay_us), self._subscribe)
 
+    def _schedule_resync(self) -> None:
+        if self._is_resync_pending:
+            return
+        self._is_resync_pending = True
+        wait_us = min(MAX_RESYNC_WAIT_US, FIRST_RESYNC_WAIT_US * 2**self._resyncs)
+        self._resyncs = min(self._resyncs + 1, MAX_COUNTED_RESYNCS)
+        due_us = self._context.now_us + int(wait_us * self._random.uniform(0.5, 1.0))
+        self._timers.set(due_us, self._resync)
+
+    def _resync(self) -> None:
+        self._is_resync_pending = False
+        if self.needs_complete_list:
+            self._actions.append(PollEndpoints())
+
     def _subscribe(self) -> None:
         if not self._context.settings.endpoints_are_pushed:
             self._actions.append(SubscribeEndpoints())
--- a/load_balancer/gateway/discovery.py
+++ b/load_balancer/gateway/discovery.py
@@ -52,6 +52,7 @@
         names: The names of zones and endpoint kinds that the settings declare.
         endpoints_are_pushed: Whether a watch is always kept open, without a subscription.
         on_watch_event: Called with each list, change or failure, in order.
+        on_message_skipped: Called for each message that cannot be used.
 
     Attributes:
         current_watch: The watch that is open or being opened.
@@ -64,8 +65,10 @@
         names: NameTable,
         endpoints_are_pushed: bool,
         on_watch_event: Callable[[WatchEvent], None],
+        on_message_skipped: Callable[[], None],
     ) -> None:
         self.on_watch_event = on_watch_event
+        self._on_message_skipped = on_message_skipped
         self.current_watch: DiscoveryCall | None = None
         self._loop = loop
         self._address = address
@@ -75,13 +78,15 @@
         self._is_subscribed = False
         self._consecutive_failures = 0
         self._index = 0
+        self._resume_index = 0
+        self._is_complete = True
         self._polls: set[DiscoveryCall] = set()
         self._overdue_calls: list[DiscoveryCall] = []  # the oldest first
 
     def start(self, cached_list: dict[str, Any]) -> None:
         """Publish a cached list, in the form of a discovery message; open the watch if the list is pushed."""
         event = parse_list({"endpoints": [], **cached_list, "snapshot": True}, self._names, ListKind.CACHED)
-        self._index = event.index
+        self._note_index(event)
         self._publish(event)
         if self._endpoints_are_pushed:
             self.set_subscribed(True)
@@ -102,7 +107,7 @@
         if not active:
             self._close_overdue_calls()
         if self.current_watch is None and active:
-            target = f"{ENDPOINTS_PATH}?stream=1&index={self._index}"
+            target = f"{ENDPOINTS_PATH}?stream=1&index={self._resume_index}"
             self.current_watch = WatchCall(self._call_parameters(target))
 
     def poll(self) -> None:
@@ -188,13 +193,28 @@
         except DiscoveryFormatError as error:
             payload = f"{data!r:.{LOGGED_MESSAGE_CHARACTERS}}"
             log_event("discovery.message_skipped", error=error, payload=payload)
+            self._is_complete = False
+            self._on_message_skipped()
             return False
-        self._index = event.index
+        self._note_index(event)
         self._consecutive_failures = 0
         self._polls = {call for call in self._polls if not call.is_closed}
         self._publish(event)
         return True
 
+    def _note_index(self, event: WatchEvent) -> None:
+        """Note the index of a list or change that is applied.
+
+        While something that came before is missing, a later watch continues from the index before that.
+        """
+        self._index = event.index
+        if event.is_partial:
+            self._is_complete = False
+        elif event.kind is not ListKind.DELTA:
+            self._is_complete = True
+        if self._is_complete:
+            self._resume_index = event.index
+
     def _publish(self, event: WatchEvent) -> None:
         if event.kind is not ListKind.DELTA:
             self._cached.clear()
--- a/load_balancer/gateway/discovery_messages.py
+++ b/load_balancer/gateway/discovery_messages.py
@@ -50,15 +50,19 @@
         kind: Whether `endpoints` is a complete list, a cached one or a change; ERROR for a failed call.
         endpoints: The entries that could be read.
         index: Position in discovery's log of changes, from which a later watch continues.
+        is_partial: Whether some entries could not be read.
     """
 
     kind: ListKind
     endpoints: tuple[DiscoveredEndpoint, ...] = ()
     index: int = 0
+    is_partial: bool = False
 
     def to_balancer_event(self) -> EndpointListReceived:
         """Return the event that passes this list to the balancer."""
-        return EndpointListReceived(self.kind, tuple(entry.endpoint for entry in self.endpoints))
+        return EndpointListReceived(
+            self.kind, tuple(entry.endpoint for entry in self.endpoints), self.is_partial
+        )
 
 
 def endpoint_id_of(name: str) -> int:
@@ -131,21 +135,30 @@
     cached = cached or {}
     is_complete = bool(raw.get("snapshot", True))
     fallback = cached if is_complete else {}
-    parsed = [_parse_or_fall_back(item, names, fallback) for item in raw["endpoints"]]
+    parsed = [_parse_or_none(item, names) for item in raw["endpoints"]]
+    is_partial = None in parsed
+    if is_partial:
+        parsed = [
+            entry or _fall_back(item, fallback) for entry, item in zip(parsed, raw["endpoints"], strict=True)
+        ]
     endpoints = tuple(entry for entry in parsed if entry is not None)
     if is_complete and cached and raw["endpoints"] and not endpoints:
         raise DiscoveryFormatError("a complete list without a readable endpoint")
-    return WatchEvent(complete_kind if is_complete else ListKind.DELTA, endpoints, _parse_index(raw))
+    kind = complete_kind if is_complete else ListKind.DELTA
+    return WatchEvent(kind, endpoints, _parse_index(raw), is_partial)
 
 
-def _parse_or_fall_back(
-    item: Any, names: NameTable, fallback: Mapping[str, DiscoveredEndpoint]
-) -> DiscoveredEndpoint | None:
-    """Read an entry; if that fails, log it and return the fallback of the same name, if any."""
+def _parse_or_none(item: Any, names: NameTable) -> DiscoveredEndpoint | None:
+    """Read an entry; if that fails, log it and return None."""
     try:
         return parse_entry(item, names)
     except DiscoveryFormatError as error:
         log_event("discovery.entry_skipped", error=error, entry=f"{item!r:.{LOGGED_ENTRY_CHARACTERS}}")
+        return None
+
+
+def _fall_back(item: Any, fallback: Mapping[str, DiscoveredEndpoint]) -> DiscoveredEndpoint | None:
+    """Return the fallback with the name of an entry that could not be read, if there is one."""
     name = item.get("name") if isinstance(item, dict) else None
     return fallback.get(name) if isinstance(name, str) else None
 
--- a/load_balancer/gateway/reverse_proxy.py
+++ b/load_balancer/gateway/reverse_proxy.py
@@ -28,6 +28,7 @@
 from load_balancer.decisions.balancer import Balancer
 from load_balancer.decisions.endpoint import ListKind
 from load_balancer.decisions.events import (
+    EndpointListSkipped,
     Event,
     Outcome,
     PeerMessageReceived,
@@ -93,7 +94,12 @@
             idle_timeout_us=settings.idle_connection_timeout_us,
         )
         self.discovery = DiscoveryClient(
-            loop, config.discovery, config.names, settings.endpoints_are_pushed, self.on_watch_event
+            loop,
+            config.discovery,
+            config.names,
+            settings.endpoints_are_pushed,
+            self.on_watch_event,
+            lambda: self.dispatch(EndpointListSkipped()),
         )
         self.peers = PeerChannel(self._on_peer_message)
         self.is_ready = False
--- a/tests/gateway/test_discovery.py
+++ b/tests/gateway/test_discovery.py
@@ -149,7 +149,7 @@
     loop = SimpleNamespace(call_later=lambda delay_s, *_: waits_s.append(delay_s))
     no_names = NameTable((), (), (), ())
     client = DiscoveryClient(
-        cast(asyncio.AbstractEventLoop, loop), ("", 0), no_names, True, on_watch_event=lambda _: None
+        cast(asyncio.AbstractEventLoop, loop), ("", 0), no_names, True, lambda _: None, lambda: None
     )
     for _ in range(12):
         client.current_watch = call = cast(DiscoveryCall, object())
