Apply what can be read of a list entry with errors: its name and its status

Related find: an entry with an error in any field was skipped whole. An endpoint whose entry said leaving or left stayed in use, and a complete list that named only an endpoint unknown here was ignored, although it did not name the endpoints in use.

An endpoint that an entry names now gets no new requests unless the entry's status is active, whatever else is wrong with it; a status that is not known is treated as draining, and the complete list is fetched. A complete list removes what it does not name, and only one whose entries have no names at all is still ignored (and fetched again).

Seven cases of test_skipped_lists.py fail without the change.

--- a/load_balancer/gateway/discovery_messages.py
+++ b/load_balancer/gateway/discovery_messages.py
@@ -7,7 +7,7 @@
 import math
 import re
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from load_balancer.config.addresses import Address, parse_address
@@ -117,8 +117,9 @@
 ) -> WatchEvent:
     """Read one message of discovery.
 
-    An entry that cannot be read is logged and skipped; in a complete list an endpoint of that name stays as
-    it is cached.
+    An entry that cannot be read in full is applied as far as it can: an endpoint that it names gets no new
+    requests unless its status is active. Otherwise an endpoint that a complete list names stays as it is
+    cached, and one that it does not name is removed.
 
     Args:
         raw: The message as decoded from JSON.
@@ -127,40 +128,65 @@
         cached: The endpoints known so far, by name.
 
     Raises:
-        DiscoveryFormatError: If the message is not a list, or is a complete list of which no entry can be
-            read while endpoints are known. Without entries it is valid: every endpoint has been removed.
+        DiscoveryFormatError: If the message is not a list, or is a complete list of entries without names
+            while endpoints are known. Without entries it is valid: every endpoint has been removed.
     """
     if not isinstance(raw, dict) or not isinstance(raw.get("endpoints"), list):
         raise DiscoveryFormatError("a list without endpoints")
     cached = cached or {}
+    items = raw["endpoints"]
     is_complete = bool(raw.get("snapshot", True))
-    fallback = cached if is_complete else {}
-    parsed = [_parse_or_none(item, names) for item in raw["endpoints"]]
-    is_partial = None in parsed
-    if is_partial:
-        parsed = [
-            entry or _fall_back(item, fallback) for entry, item in zip(parsed, raw["endpoints"], strict=True)
-        ]
-    endpoints = tuple(entry for entry in parsed if entry is not None)
-    if is_complete and cached and raw["endpoints"] and not endpoints:
+    if is_complete and cached and items and not any(map(_entry_name, items)):
         raise DiscoveryFormatError("a complete list without a readable endpoint")
+    entries: list[DiscoveredEndpoint] = []
+    is_partial = False
+    for item in items:
+        try:
+            entries.append(parse_entry(item, names))
+        except DiscoveryFormatError as error:
+            is_partial |= not _is_understood(item, error)
+            known = cached.get(_entry_name(item))
+            if known is not None:
+                entries.extend(_with_readable_status(known, item, is_complete))
     kind = complete_kind if is_complete else ListKind.DELTA
-    return WatchEvent(kind, endpoints, _parse_index(raw), is_partial)
+    return WatchEvent(kind, tuple(entries), _parse_index(raw), is_partial)
 
 
-def _parse_or_none(item: Any, names: NameTable) -> DiscoveredEndpoint | None:
-    """Read an entry; if that fails, log it and return None."""
-    try:
-        return parse_entry(item, names)
-    except DiscoveryFormatError as error:
-        log_event("discovery.entry_skipped", error=error, entry=f"{item!r:.{LOGGED_ENTRY_CHARACTERS}}")
-        return None
+def _is_understood(item: Any, error: DiscoveryFormatError) -> bool:
+    """Return whether an entry with errors says all that matters; log it if not."""
+    if _stopping_status(item) is not None and item["status"] in STATUSES:
+        return True
+    log_event("discovery.entry_skipped", error=error, entry=f"{item!r:.{LOGGED_ENTRY_CHARACTERS}}")
+    return False
+
 
+def _with_readable_status(
+    known: DiscoveredEndpoint, item: Any, is_complete: bool
+) -> tuple[DiscoveredEndpoint, ...]:
+    """Return what an entry with errors says of a known endpoint: its status, or that it is still listed."""
+    stopping_status = _stopping_status(item)
+    if stopping_status is not None:
+        return (replace(known, endpoint=replace(known.endpoint, status=stopping_status)),)
+    return (known,) if is_complete else ()
 
-def _fall_back(item: Any, fallback: Mapping[str, DiscoveredEndpoint]) -> DiscoveredEndpoint | None:
-    """Return the fallback with the name of an entry that could not be read, if there is one."""
+
+def _entry_name(item: Any) -> str:
+    """Return the name of an entry, or an empty string if it has none."""
     name = item.get("name") if isinstance(item, dict) else None
-    return fallback.get(name) if isinstance(name, str) else None
+    return name if isinstance(name, str) else ""
+
+
+def _stopping_status(item: Any) -> EndpointStatus | None:
+    """Return the status of an entry by which its endpoint gets no new requests; None if it has another.
+
+    Nothing else that an entry says matters for such an endpoint. Only `active` permits new requests, so that
+    a status that is not known forbids them.
+    """
+    status = item.get("status") if isinstance(item, dict) else None
+    if not isinstance(status, str) or not _entry_name(item):
+        return None
+    known_status = STATUSES.get(status, EndpointStatus.DRAINING)
+    return None if known_status is EndpointStatus.READY else known_status
 
 
 def _parse_index(raw: dict[str, Any]) -> int:
--- a/tests/gateway/test_skipped_lists.py
+++ b/tests/gateway/test_skipped_lists.py
@@ -65,3 +65,33 @@
         list_at_discovery(gateway, endpoint_entry("h1", gateway.endpoint.address))
         assert "index=0" in (await gateway.discovery.watches.get())[0]
         assert await next_complete_list(gateway) == ["h1 ready"]
+
+
+@pytest.mark.parametrize("is_complete", [False, True])
+@pytest.mark.parametrize(
+    ("status", "expected"), [("leaving", "draining"), ("left", "gone"), ("?", "draining")]
+)
+async def test_an_endpoint_whose_entry_is_unreadable_gets_no_requests_unless_it_is_active(
+    status: str, expected: str, is_complete: bool
+) -> None:
+    """The whole entry was skipped for an error in another field, and the endpoint stayed in use."""
+    async with gateway_with_watch(endpoint_count=2) as (gateway, watch):
+        entries = [
+            endpoint_entry("h0", "nowhere", status),
+            endpoint_entry("h1", gateway.endpoint.address),
+        ]
+        watch.write(encode_chunk(watch_event(*entries, index=9, snapshot=is_complete)))
+        kind = ListKind.COMPLETE if is_complete else ListKind.DELTA
+        assert await next_list(gateway) == (kind, [f"h0 {expected}", "h1 ready"])
+        is_understood = status != "?"
+        assert gateway.proxy.balancer.polling.needs_complete_list != is_understood
+
+
+async def test_a_complete_list_of_other_endpoints_removes_those_that_it_does_not_name() -> None:
+    """As the one entry could not be read, the list was ignored, and removed endpoints stayed in use."""
+    async with gateway_with_watch() as (gateway, watch):
+        list_at_discovery(gateway, endpoint_entry("h1", gateway.endpoint.address))
+        watch.write(encode_chunk(watch_event(UNREADABLE_ENTRY, index=9, snapshot=True)))
+        assert await next_list(gateway) == (ListKind.COMPLETE, [])
+        assert gateway.proxy.upstream.ready_count == 0
+        assert await next_complete_list(gateway) == ["h1 ready"]
