Ignore complete lists that are older than the one in use, and fetch the current one

Related find: the last list written applied, whatever its index. A list from before a drain or a removal, as a replica of discovery that lags answers a new watch or a poll that was answered before a change of the watch, brought removed endpoints back, and requests were sent to them.

ListPosition, a new pure module, keeps the index of the list in use (the cached one after a start) and rejects complete lists with a lower one, and the changes of a watch that began with such a list up to that index. The complete list is then fetched. The index from which a watch resumes moved there from the client of discovery.

The tests' lists had index 1 by default and their cached list 7, so that each test sent an older list without meaning to; the default is now the next index. No assertion changed.

--- a/load_balancer/gateway/discovery.py
+++ b/load_balancer/gateway/discovery.py
@@ -10,6 +10,7 @@
 from load_balancer.config.addresses import Address
 from load_balancer.config.gateway_config import NameTable
 from load_balancer.decisions.endpoint import EndpointStatus, ListKind
+from load_balancer.decisions.list_position import ListPosition
 from load_balancer.gateway.discovery_call import CallParameters, DiscoveryCall, PollCall, WatchCall
 from load_balancer.gateway.discovery_messages import (
     DiscoveredEndpoint,
@@ -77,16 +78,13 @@
         self._cached: dict[str, DiscoveredEndpoint] = {}
         self._is_subscribed = False
         self._consecutive_failures = 0
-        self._index = 0
-        self._resume_index = 0
-        self._is_complete = True
+        self._position = ListPosition()
         self._polls: set[DiscoveryCall] = set()
         self._overdue_calls: list[DiscoveryCall] = []  # the oldest first
 
     def start(self, cached_list: dict[str, Any]) -> None:
         """Publish a cached list, in the form of a discovery message; open the watch if the list is pushed."""
         event = parse_list({"endpoints": [], **cached_list, "snapshot": True}, self._names, ListKind.CACHED)
-        self._note_index(event)
         self._publish(event)
         if self._endpoints_are_pushed:
             self.set_subscribed(True)
@@ -107,7 +105,8 @@
         if not active:
             self._close_overdue_calls()
         if self.current_watch is None and active:
-            target = f"{ENDPOINTS_PATH}?stream=1&index={self._resume_index}"
+            target = f"{ENDPOINTS_PATH}?stream=1&index={self._position.resume_index}"
+            self._position.begin_watch()
             self.current_watch = WatchCall(self._call_parameters(target))
 
     def poll(self) -> None:
@@ -145,7 +144,7 @@
     @property
     def index(self) -> int:
         """Position in discovery's log of changes that the list in force has."""
-        return self._index
+        return self._position.index
 
     # CallListener
 
@@ -186,36 +185,34 @@
         self._consecutive_failures = min(self._consecutive_failures + 1, MAX_COUNTED_FAILURES)
         self._loop.call_later(backoff_s * random.uniform(0.5, 1.0), self.set_subscribed, True)
 
-    def on_message(self, data: bytes) -> bool:
-        """Publish one message; return False and leave the list unchanged if it cannot be read."""
+    def on_message(self, call: DiscoveryCall, data: bytes) -> bool:
+        """Publish one message; return False and leave the list unchanged if it cannot be read.
+
+        The list is unchanged too if it is newer than the message.
+        """
         try:
             event = decode_list(data, self._names, self._cached)
         except DiscoveryFormatError as error:
             payload = f"{data!r:.{LOGGED_MESSAGE_CHARACTERS}}"
             log_event("discovery.message_skipped", error=error, payload=payload)
-            self._is_complete = False
-            self._on_message_skipped()
+            self._note_skipped()
             return False
-        self._note_index(event)
         self._consecutive_failures = 0
-        self._polls = {call for call in self._polls if not call.is_closed}
-        self._publish(event)
+        self._polls = {poll for poll in self._polls if not poll.is_closed}
+        is_watched = isinstance(call, WatchCall)
+        if self._position.rejects_as_older(event.kind, event.index, self._loop.time(), is_watched=is_watched):
+            log_event("discovery.list_older", index=event.index, applied_index=self._position.index)
+            self._note_skipped()
+        else:
+            self._publish(event)
         return True
 
-    def _note_index(self, event: WatchEvent) -> None:
-        """Note the index of a list or change that is applied.
-
-        While something that came before is missing, a later watch continues from the index before that.
-        """
-        self._index = event.index
-        if event.is_partial:
-            self._is_complete = False
-        elif event.kind is not ListKind.DELTA:
-            self._is_complete = True
-        if self._is_complete:
-            self._resume_index = event.index
+    def _note_skipped(self) -> None:
+        self._position.note_skipped()
+        self._on_message_skipped()
 
     def _publish(self, event: WatchEvent) -> None:
+        self._position.note_applied(event.kind, event.index, is_partial=event.is_partial)
         if event.kind is not ListKind.DELTA:
             self._cached.clear()
         for entry in event.endpoints:
--- a/load_balancer/gateway/discovery_call.py
+++ b/load_balancer/gateway/discovery_call.py
@@ -26,8 +26,8 @@
 class CallListener(Protocol):
     """The receiver of what calls report."""
 
-    def on_message(self, data: bytes) -> bool:
-        """Handle the text of one message; return whether it could be read."""
+    def on_message(self, call: DiscoveryCall, data: bytes) -> bool:
+        """Handle the text of one message of a call; return whether it could be read."""
 
     def on_call_answered(self, call: DiscoveryCall) -> None:
         """Handle the first progress of an answer, before its messages are reported."""
@@ -210,7 +210,7 @@
             self._note_answer()
         for message in messages:
             if not self.is_closed:  # an earlier message may have closed the call
-                self._listener.on_message(message)
+                self._listener.on_message(self, message)
         if not self.is_closed and (begins_message or splitter.completed > completed_before):
             self._restart_inactivity_timer()
         return splitter.buffered_bytes
@@ -243,5 +243,5 @@
     def _conclude(self) -> None:
         self._note_answer()
         self.close()
-        if not self._listener.on_message(bytes(self._body)):
+        if not self._listener.on_message(self, bytes(self._body)):
             self._listener.on_call_failed(self)
--- a/load_balancer/gateway/log_event_fields.py
+++ b/load_balancer/gateway/log_event_fields.py
@@ -6,6 +6,7 @@
 COMMON_FIELDS = ("repeated", "exception")
 FIELDS = {
     "address": "address of the endpoint or of discovery, as host:port",
+    "applied_index": "position of the list in use in discovery's log of changes",
     "attempt": "the attempt's number among those of its request, from 0",
     "buffer_limit_bytes": "how many bytes messages may take on all connections together",
     "buffered_bytes": "how many bytes messages that are being received, served or sent take",
--- a/load_balancer/gateway/log_events.py
+++ b/load_balancer/gateway/log_events.py
@@ -126,6 +126,13 @@
             ("error", "payload"),
             ("error",),
         ),
+        RegisteredEvent(
+            "discovery.list_older",
+            WARNING,
+            "ignored a list at index {index}: the one in use has index {applied_index}",
+            "Discovery sent a list that is older than the one in use; the complete list is fetched.",
+            ("index", "applied_index"),
+        ),
         RegisteredEvent(
             "circuit_breaker.changed",
             INFO,
--- a/tests/gateway/configurations.py
+++ b/tests/gateway/configurations.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from tests.gateway.stub_discovery import endpoint_entry
+from tests.gateway.stub_discovery import CACHED_INDEX, endpoint_entry
 
 
 def request_class_settings(name: str, effect: str) -> dict[str, object]:
@@ -51,7 +51,7 @@
         "seed": "1f",
         "limits": {"sockets": 1024},
         "known": {
-            "index": 7,
+            "index": CACHED_INDEX,
             "endpoints": [endpoint_entry(name, address) for name, address in endpoints.items()],
         },
         "settings": settings(),
--- a/tests/gateway/stub_discovery.py
+++ b/tests/gateway/stub_discovery.py
@@ -7,6 +7,7 @@
 
 from tests.gateway.stub_server import StubServer, read_head
 
+CACHED_INDEX = 7  # of the list with which gateways under test start
 WATCH_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -60,6 +61,6 @@
     return {"name": name, "address": address, "zone": "a", "type": "m1", "status": status, **extra}
 
 
-def watch_event(*entries: object, index: int = 1, snapshot: bool = False) -> str:
+def watch_event(*entries: object, index: int = CACHED_INDEX + 1, snapshot: bool = False) -> str:
     """Return a line with changed endpoints, or with the complete list if `snapshot` is set."""
     return json.dumps({"index": index, "snapshot": snapshot, "endpoints": entries}) + "\n"
