--- a/tests/lab/model/test_faults.py
+++ b/tests/lab/model/test_faults.py
@@ -8,6 +8,7 @@
 from lab.model.engine import START_US
 from lab.model.policies import Policy, ReferencePolicy
 from load_balancer.decisions.actions import Action, SendPeerMessage
+from load_balancer.decisions.balancer import Balancer
 from load_balancer.decisions.endpoint import ListKind
 from load_balancer.decisions.events import (
     AttemptEnded,
@@ -108,3 +109,10 @@
     simulate(scenario_files.parse(text, "tiny.toml"), RecordingPolicy)
     assert any(outcome_seen is outcome and 3e6 <= at_us < 8e6 for at_us, outcome_seen in outcomes)
     assert all(outcome_seen in (Outcome.OK, Outcome.ERROR) for at_us, outcome_seen in outcomes if at_us < 3e6)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_fleet_that_drains_goes_and_returns_cold_breaks_no_rule(seed: int) -> None:
+    """No request may be sent to it while it is gone, and no endpoint may be overloaded when it returns."""
+    scenario = scenario_files.load(scenario_files.FOLDER / "fleet-returns.toml")
+    assert violated_rules(simulate(scenario, Balancer, seed)) == set()
