Repeat a failed fetch of the complete list as soon as any other failed call

Found while the soak of discovery's faults was planned: a fetch that failed (503, reset) was repeated after the wait for answers that cannot be used, which doubles up to 60 s, while a change must be known 6 s after discovery had it, whatever call failed.

--- a/load_balancer/decisions/list_polling.py
+++ b/load_balancer/decisions/list_polling.py
@@ -18,7 +18,8 @@
 MAX_FIRST_CALL_DELAY_US = 1_500_000  # Bounded, as the first call may be queued, rejected and queued again.
 # Wait before the complete list is fetched because a part of a list or change was not applied. The first one
 # leaves time for an answer within the drain grace; the longest bounds the load on service discovery where an
-# entry can never be read. The wait doubles with each attempt.
+# entry can never be read. The wait doubles with each answer that is not applied whole; after a failed call it
+# is that of any call.
 FIRST_RESYNC_WAIT_US = 100_000
 MAX_RESYNC_WAIT_US = 60_000_000
 MAX_COUNTED_RESYNCS = 10  # Bounds the exponent of the wait.
@@ -73,28 +74,27 @@
     def note_skipped(self) -> None:
         """Note that a list or change was not applied, and fetch the complete list until one is."""
         self.needs_complete_list = True
-        self._schedule_resync()
+        if not self._is_resync_pending:
+            wait_us = min(MAX_RESYNC_WAIT_US, FIRST_RESYNC_WAIT_US * 2**self._resyncs)
+            self._resyncs = min(self._resyncs + 1, MAX_COUNTED_RESYNCS)
+            self._resync_after(wait_us * self._random.uniform(0.5, 1.0))
 
     def note_failure(self) -> None:
         """Schedule another call, with exponential backoff and jitter."""
-        if self.needs_complete_list:
-            self._schedule_resync()
         self.failures += 1
         first_backoff_us = min(MAX_POLL_BACKOFF_US / 4, self._context.settings.max_poll_interval_us / 20)
         wait_us = min(MAX_POLL_BACKOFF_US, first_backoff_us * 2 ** min(self.failures - 1, 3))
-        self._subscribe_after(wait_us * self._random.uniform(0.5, 1.0))
+        delay_us = wait_us * self._random.uniform(0.5, 1.0)
+        self._subscribe_after(delay_us)
+        if self.needs_complete_list and not self._is_resync_pending:
+            self._resync_after(delay_us)
 
     def _subscribe_after(self, delay_us: float) -> None:
         self._timers.set(self._context.now_us + int(delay_us), self._subscribe)
 
-    def _schedule_resync(self) -> None:
-        if self._is_resync_pending:
-            return
+    def _resync_after(self, delay_us: float) -> None:
         self._is_resync_pending = True
-        wait_us = min(MAX_RESYNC_WAIT_US, FIRST_RESYNC_WAIT_US * 2**self._resyncs)
-        self._resyncs = min(self._resyncs + 1, MAX_COUNTED_RESYNCS)
-        due_us = self._context.now_us + int(wait_us * self._random.uniform(0.5, 1.0))
-        self._timers.set(due_us, self._resync)
+        self._timers.set(self._context.now_us + int(delay_us), self._resync)
 
     def _resync(self) -> None:
         self._is_resync_pending = False
