Apply the last change of a watch that ends without the end of its line

Related find: a watch's response may end in order after a whole object whose newline has not come. The change counts as told when it is written, but it was dropped with the rest of the line, and came again only with the next call, which discovery may queue for 2 s. It is applied before the end is reported. A line that is cut off is still left for the next watch. Both cases of the new test fail without it.

--- a/load_balancer/gateway/discovery_call.py
+++ b/load_balancer/gateway/discovery_call.py
@@ -216,8 +216,14 @@
         return splitter.buffered_bytes
 
     def _conclude(self) -> None:
+        for message in self._splitter.finish():
+            self._note_answer()
+            self._listener.on_message(self, message)
         self._fail("the response to the watch ended")
 
+    def _end_input(self) -> None:
+        self._conclude()
+
 
 class PollCall(DiscoveryCall):
     """A call whose response is one message, read when it is complete."""
--- a/load_balancer/gateway/discovery_messages.py
+++ b/load_balancer/gateway/discovery_messages.py
@@ -235,6 +235,13 @@
             self._partial_line_bytes += len(rest)
         return [message for line in lines for message in self._add_line(line)]
 
+    def finish(self) -> list[bytes]:
+        """Return what the stream ends with, if it is whole although its line has no end."""
+        line = b"".join(self._partial_line)
+        self._partial_line = []
+        self._partial_line_bytes = 0
+        return self._add_line(line) if line.strip() else []
+
     def _add_line(self, line: bytes) -> list[bytes]:
         """Return the objects that end with this line, and malformed text that ends before it."""
         depth = _count_unclosed(line)
--- a/tests/gateway/test_skipped_lists.py
+++ b/tests/gateway/test_skipped_lists.py
@@ -95,3 +95,15 @@
         assert await next_list(gateway) == (ListKind.COMPLETE, [])
         assert gateway.proxy.upstream.ready_count == 0
         assert await next_complete_list(gateway) == ["h1 ready"]
+
+
+@pytest.mark.parametrize("end", [b"0\r\n\r\n", b""])
+async def test_a_change_is_applied_if_its_watch_ends_without_the_end_of_its_line(end: bytes) -> None:
+    """It was dropped, and had to be asked for again at a discovery that may queue calls."""
+    async with gateway_with_watch() as (gateway, watch):
+        change = watch_event(endpoint_entry("h0", gateway.endpoint.address, "leaving"), index=9)
+        watch.write(encode_chunk(change.rstrip("\n")) + end)
+        watch.close()
+        assert await next_list(gateway) == (ListKind.DELTA, ["h0 draining"])
+        assert "index=9" in (await gateway.discovery.watches.get())[0]
+        assert not gateway.proxy.balancer.polling.needs_complete_list
