Count failed attempts by outcome and retries together in the log

Counted by endpoint, they could write 64 lines a second at a large fleet; lines and their cost must not grow with the endpoints. The circuit breaker's events name the endpoints.

--- a/load_balancer/gateway/log_events.py
+++ b/load_balancer/gateway/log_events.py
@@ -186,7 +186,7 @@
             "attempt {attempt} of request {request_id} ended after {latency_ms} ms: {outcome}",
             "An attempt ended without a successful answer.",
             ("attempt", "outcome", "latency_ms", "endpoint_id", "address", *REQUEST_FIELDS),
-            ("endpoint_id", "outcome"),
+            ("outcome",),
         ),
         RegisteredEvent(
             "attempt.retried",
@@ -194,7 +194,6 @@
             "request {request_id} is sent again as attempt {attempt}",
             "A request is sent to a further endpoint, after a failed attempt or as a hedged request.",
             ("attempt", "endpoint_id", "address", *REQUEST_FIELDS),
-            ("endpoint_id",),
         ),
         RegisteredEvent(
             "upstream_connection.closed",
