Count a gateway as ready when discovery confirms a list without endpoints

A gateway that is restarted after the fleet has gone starts with a cached list without endpoints, and a watch from its index may bring an empty change or nothing but empty lines. Only a complete list made it ready. Any first answer of discovery does now; an empty line as the first answer is published as a change without endpoints. Without an answer it is not ready, as test_a_gateway_is_ready_once_endpoints_are_known asks.

--- a/load_balancer/gateway/discovery.py
+++ b/load_balancer/gateway/discovery.py
@@ -79,6 +79,7 @@
         self._is_subscribed = False
         self._consecutive_failures = 0
         self._position = ListPosition()
+        self._has_published = False  # a list or change of discovery itself
         self._polls: set[DiscoveryCall] = set()
         self._overdue_calls: list[DiscoveryCall] = []  # the oldest first
 
@@ -148,6 +149,11 @@
 
     # CallListener
 
+    def on_empty_line(self) -> None:
+        """Publish a change without endpoints if that is the first answer: the cached list is current."""
+        if not self._has_published:
+            self._publish(WatchEvent(ListKind.DELTA, (), self._position.index))
+
     def on_call_answered(self, call: DiscoveryCall) -> None:
         """Use an answered call, which may be overdue, and close the others."""
         if call in self._overdue_calls and isinstance(call, WatchCall):
@@ -212,6 +218,7 @@
         self._on_message_skipped()
 
     def _publish(self, event: WatchEvent) -> None:
+        self._has_published = self._has_published or event.kind is not ListKind.CACHED
         self._position.note_applied(event.kind, event.index, is_partial=event.is_partial)
         if event.kind is not ListKind.DELTA:
             self._cached.clear()
--- a/load_balancer/gateway/discovery_call.py
+++ b/load_balancer/gateway/discovery_call.py
@@ -29,6 +29,9 @@
     def on_message(self, call: DiscoveryCall, data: bytes) -> bool:
         """Handle the text of one message of a call; return whether it could be read."""
 
+    def on_empty_line(self) -> None:
+        """Handle an empty line of a watch, by which nothing has changed."""
+
     def on_call_answered(self, call: DiscoveryCall) -> None:
         """Handle the first progress of an answer, before its messages are reported."""
 
@@ -208,6 +211,8 @@
         messages = splitter.feed(body)
         if splitter.completed > 0:
             self._note_answer()
+        if not messages and splitter.completed > completed_before:
+            self._listener.on_empty_line()
         for message in messages:
             if not self.is_closed:  # an earlier message may have closed the call
                 self._listener.on_message(self, message)
--- a/load_balancer/gateway/reverse_proxy.py
+++ b/load_balancer/gateway/reverse_proxy.py
@@ -71,8 +71,8 @@
         upstream: Connections to endpoints.
         discovery: Client of service discovery.
         peers: Messages to and from other gateways.
-        is_ready: Whether an endpoint has been known or discovery has sent a complete list. It stays set while
-            no endpoint is listed, as requests are then rejected at once.
+        is_ready: Whether an endpoint has been known or discovery has answered. It stays set while no endpoint
+            is listed, as requests are then rejected at once.
     """
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
@@ -274,7 +274,7 @@
 
     def on_watch_event(self, event: WatchEvent) -> None:
         """Apply a message of discovery to the connection pools, and pass it to the balancer."""
-        if event.endpoints or event.kind is ListKind.COMPLETE:
+        if event.kind in (ListKind.COMPLETE, ListKind.DELTA) or event.endpoints:
             self.is_ready = True
         if event.kind in (ListKind.COMPLETE, ListKind.CACHED):
             self.upstream.drain_unlisted(listed.endpoint.id for listed in event.endpoints)
--- a/tests/gateway/test_empty_endpoint_list.py
+++ b/tests/gateway/test_empty_endpoint_list.py
@@ -113,15 +113,22 @@
     assert set(statuses) == {503}
 
 
-@pytest.mark.parametrize("endpoint_count", [0, 1])
-async def test_a_gateway_is_ready_while_discovery_lists_no_endpoint(endpoint_count: int) -> None:
-    """A gateway that was restarted meanwhile got no clients, as if its start had failed."""
-    check = b"GET /health/ready HTTP/1.1\r\n\r\n"
-    async with gateway_with_watch(endpoint_count=endpoint_count) as (gateway, watch):
-        client = await gateway.client()
-        assert (await client.request(check))[0] == (200 if endpoint_count else 503)
+READINESS_CHECK = b"GET /health/ready HTTP/1.1\r\n\r\n"
+
+
+async def test_a_gateway_stays_ready_while_discovery_lists_no_endpoint() -> None:
+    async with gateway_with_watch() as (gateway, watch):
         watch.write(encode_chunk(REMOVED_FLEET))
         assert await next_list(gateway) == (ListKind.COMPLETE, [])
         gateway.proxy.upstream.sweep()
-        client = await gateway.client()
-        assert (await client.request(check))[0] == 200
+        assert (await (await gateway.client()).request(READINESS_CHECK))[0] == 200
+
+
+@pytest.mark.parametrize("message", [REMOVED_FLEET, watch_event(index=44), "\n"])
+async def test_a_gateway_with_an_empty_list_is_ready_once_discovery_answers(message: str) -> None:
+    """A gateway that was started while no endpoint is listed got no clients, as if its start had failed."""
+    async with gateway_with_watch(known={"index": 44, "endpoints": []}) as (gateway, watch):
+        assert (await (await gateway.client()).request(READINESS_CHECK))[0] == 503
+        watch.write(encode_chunk(message))
+        await next_list(gateway)
+        assert (await (await gateway.client()).request(READINESS_CHECK))[0] == 200
