Apply the changes of a watch that began with an older list to that list

A watch began with an older list, in which the endpoint was not ready; a newer list from a poll, in which it was ready again, was in use; then it was taken out again. The change of the watch, made since its own older list, did not name the endpoint, as it had changed and changed back, and was applied to the newer list.

OlderList keeps the list that such a watch is sent up to. Its changes are applied there, and the result replaces the list in use as a complete one once its index is as high. ListPosition no longer decides on changes. The new test fails without the change; two tests expect the complete lists that are published now instead of changes, with the same endpoints.

--- a/load_balancer/decisions/list_position.py
+++ b/load_balancer/decisions/list_position.py
@@ -19,43 +19,30 @@
         resume_index: Index up to which nothing is missing.
     """
 
-    __slots__ = ("_is_watch_behind", "_misses_changes", "_older_since_s", "index", "resume_index")
+    __slots__ = ("_misses_changes", "_older_since_s", "index", "resume_index")
 
     def __init__(self) -> None:
         self.index = 0
         self.resume_index = 0
         self._misses_changes = False
         self._older_since_s: float | None = None
-        self._is_watch_behind = False
 
-    def begin_watch(self) -> None:
-        """Note that a watch is opened, which continues from `resume_index`."""
-        self._is_watch_behind = False
+    def rejects_as_older(self, kind: ListKind, index: int, now_s: float) -> bool:
+        """Return whether a complete list must not be applied, as a newer one has been; note it if so.
 
-    def rejects_as_older(self, kind: ListKind, index: int, now_s: float, *, is_watched: bool) -> bool:
-        """Return whether a list or change must not be applied, as a newer one has been.
-
-        The changes of a watch apply to the list with which it began. If that was older, those up to the list
-        in use are contained in the latter.
+        A change is never rejected. The caller has to turn the changes of a watch that began with a rejected
+        list into complete ones, as they apply to that list.
 
         Args:
             kind: Whether it is complete or a change.
             index: Its index.
             now_s: The current time in seconds.
-            is_watched: Whether it came on a watch.
         """
-        if index <= 0 or index > self.index:
-            return False
-        if kind is ListKind.DELTA:
-            return is_watched and self._is_watch_behind
-        if index == self.index:
+        if kind is ListKind.DELTA or index <= 0 or index >= self.index:
             return False
         if self._older_since_s is None:
             self._older_since_s = now_s
-        if now_s - self._older_since_s >= OLDER_LISTS_S:
-            return False
-        self._is_watch_behind = self._is_watch_behind or is_watched
-        return True
+        return now_s - self._older_since_s < OLDER_LISTS_S
 
     def note_applied(self, kind: ListKind, index: int, *, is_partial: bool) -> None:
         """Note a list or change that is applied, in whole or in part."""
--- a/load_balancer/gateway/discovery.py
+++ b/load_balancer/gateway/discovery.py
@@ -9,7 +9,7 @@
 
 from load_balancer.config.addresses import Address
 from load_balancer.config.gateway_config import NameTable
-from load_balancer.decisions.endpoint import EndpointStatus, ListKind
+from load_balancer.decisions.endpoint import ListKind
 from load_balancer.decisions.list_position import ListPosition
 from load_balancer.gateway.discovery_call import CallParameters, DiscoveryCall, PollCall, WatchCall
 from load_balancer.gateway.discovery_messages import (
@@ -20,6 +20,7 @@
     parse_list,
 )
 from load_balancer.gateway.event_log import log_event
+from load_balancer.gateway.older_list import OlderList, apply_entries
 
 ENDPOINTS_PATH = "/registry/instances"
 LOGGED_MESSAGE_CHARACTERS = 200
@@ -79,6 +80,7 @@
         self._is_subscribed = False
         self._consecutive_failures = 0
         self._position = ListPosition()
+        self._older_list: OlderList | None = None  # of the open watch, while it lags behind the list in use
         self._has_published = False  # a list or change of discovery itself
         self._polls: set[DiscoveryCall] = set()
         self._overdue_calls: list[DiscoveryCall] = []  # the oldest first
@@ -107,7 +109,7 @@
             self._close_overdue_calls()
         if self.current_watch is None and active:
             target = f"{ENDPOINTS_PATH}?stream=1&index={self._position.resume_index}"
-            self._position.begin_watch()
+            self._older_list = None
             self.current_watch = WatchCall(self._call_parameters(target))
 
     def poll(self) -> None:
@@ -160,6 +162,7 @@
             if self.current_watch is not None:
                 self.current_watch.close()
             self.current_watch = call
+            self._older_list = None
         self._close_overdue_calls(except_call=call)
 
     def on_call_overdue(self, call: DiscoveryCall) -> None:
@@ -196,20 +199,31 @@
 
         The list is unchanged too if it is newer than the message.
         """
+        is_watched = isinstance(call, WatchCall)
+        older_list = self._older_list if is_watched else None
+        known = self._cached if older_list is None else older_list.entries
         try:
-            event = decode_list(data, self._names, self._cached)
+            event = decode_list(data, self._names, known)
         except DiscoveryFormatError as error:
             payload = f"{data!r:.{LOGGED_MESSAGE_CHARACTERS}}"
             log_event("discovery.message_skipped", error=error, payload=payload)
+            if older_list is not None:
+                older_list.is_partial = True
             self._note_skipped()
             return False
         self._consecutive_failures = 0
         self._polls = {poll for poll in self._polls if not poll.is_closed}
-        is_watched = isinstance(call, WatchCall)
-        if self._position.rejects_as_older(event.kind, event.index, self._loop.time(), is_watched=is_watched):
+        if older_list is not None and event.kind is ListKind.DELTA:
+            older_list.apply(event)
+            event = older_list.complete_list(event.index)
+        if self._position.rejects_as_older(event.kind, event.index, self._loop.time()):
             log_event("discovery.list_older", index=event.index, applied_index=self._position.index)
+            if is_watched:
+                self._older_list = OlderList(event)
             self._note_skipped()
         else:
+            if is_watched:
+                self._older_list = None
             self._publish(event)
         return True
 
@@ -222,9 +236,5 @@
         self._position.note_applied(event.kind, event.index, is_partial=event.is_partial)
         if event.kind is not ListKind.DELTA:
             self._cached.clear()
-        for entry in event.endpoints:
-            if entry.endpoint.status is EndpointStatus.GONE:
-                self._cached.pop(entry.name, None)
-            else:
-                self._cached[entry.name] = entry
+        apply_entries(self._cached, event.endpoints)
         self.on_watch_event(event)
--- a/tests/decisions/test_list_position.py
+++ b/tests/decisions/test_list_position.py
@@ -11,7 +11,6 @@
 def position_at(index: int) -> ListPosition:
     position = ListPosition()
     position.note_applied(ListKind.CACHED, index, is_partial=False)
-    position.begin_watch()
     return position
 
 
@@ -20,33 +19,20 @@
 )
 def test_a_complete_list_with_a_lower_index_is_rejected(index: int, rejected: bool) -> None:
     position = position_at(44)
-    assert position.rejects_as_older(ListKind.COMPLETE, index, 0.0, is_watched=True) is rejected
+    assert position.rejects_as_older(ListKind.COMPLETE, index, 0.0) is rejected
 
 
-def test_changes_after_an_older_list_are_rejected_up_to_the_list_in_use() -> None:
+def test_a_change_is_not_rejected() -> None:
     position = position_at(44)
-    assert not position.rejects_as_older(ListKind.DELTA, 40, 0.0, is_watched=True)  # no older list before it
-    assert position.rejects_as_older(ListKind.COMPLETE, 42, 0.0, is_watched=True)
-    assert [position.rejects_as_older(ListKind.DELTA, n, 1.0, is_watched=True) for n in (43, 44, 45)] == [
-        True,
-        True,
-        False,
-    ]
-    position.begin_watch()
-    assert not position.rejects_as_older(ListKind.DELTA, 43, 1.0, is_watched=True)
-
-
-def test_an_older_list_of_a_poll_says_nothing_about_the_changes_of_the_watch() -> None:
-    position = position_at(44)
-    assert position.rejects_as_older(ListKind.COMPLETE, 43, 0.0, is_watched=False)
-    assert not position.rejects_as_older(ListKind.DELTA, 44, 0.0, is_watched=True)
+    assert position.rejects_as_older(ListKind.COMPLETE, 42, 0.0)
+    assert not position.rejects_as_older(ListKind.DELTA, 40, 0.0)
 
 
 def test_an_older_list_is_accepted_once_nothing_newer_has_come_for_long() -> None:
     position = position_at(44)
 
     def rejects(now_s: float) -> bool:
-        return position.rejects_as_older(ListKind.COMPLETE, 3, now_s, is_watched=False)
+        return position.rejects_as_older(ListKind.COMPLETE, 3, now_s)
 
     assert rejects(100.0)
     assert rejects(100.0 + OLDER_LISTS_S - 0.1)
--- a/tests/gateway/test_older_lists.py
+++ b/tests/gateway/test_older_lists.py
@@ -44,12 +44,32 @@
         watch.write(encode_chunk(older))
         await asyncio.sleep(0.3)
         await expect_rejected(gateway)
-        change = watch_event(endpoint_entry("h1", gateway.endpoint.address, "leaving"), index=9)
+        change = watch_event(endpoint_entry("h0", gateway.endpoint.address, "left"), index=9)
         watch.write(encode_chunk(change))
         watch.write(encode_chunk(watch_event(endpoint_entry("h2", gateway.endpoint.address), index=10)))
         while (event := await next_list(gateway)) == (ListKind.ERROR, []):
             pass
-        assert event == (ListKind.DELTA, ["h2 ready"])
+        assert event == (ListKind.COMPLETE, [])
+        assert await next_list(gateway) == (ListKind.DELTA, ["h2 ready"])
+
+
+async def test_changes_apply_to_the_older_list_with_which_their_watch_began() -> None:
+    """An endpoint that had changed and changed back was not named, and stayed as in the newer list."""
+    async with gateway_with_watch(endpoint_count=2) as (gateway, watch):
+        gateway.discovery.complete_list = b"no list"
+        older = [
+            endpoint_entry("h0", gateway.endpoint.address, "leaving"),
+            endpoint_entry("h1", gateway.endpoint.address),
+        ]
+        watch.write(encode_chunk(watch_event(*older, index=5, snapshot=True)))
+        change = watch_event(endpoint_entry("h2", gateway.endpoint.address), index=6)
+        watch.write(encode_chunk(change))
+        change = watch_event(endpoint_entry("h1", gateway.endpoint.address, "left"), index=8)
+        watch.write(encode_chunk(change))
+        assert await next_list(gateway) == (ListKind.COMPLETE, ["h0 draining", "h2 ready"])
+        assert gateway.proxy.upstream.ready_count == 1
+        watch.write(encode_chunk(watch_event(endpoint_entry("h3", gateway.endpoint.address), index=9)))
+        assert await next_list(gateway) == (ListKind.DELTA, ["h3 ready"])
 
 
 async def test_a_first_answer_older_than_the_cached_list_is_not_applied() -> None:
@@ -82,4 +102,4 @@
         watch.write(encode_chunk(current))
         assert await next_list(gateway) == (ListKind.COMPLETE, ["h3 ready"])
         watch.write(encode_chunk(watch_event(endpoint_entry("h4", gateway.endpoint.address), index=3)))
-        assert await next_list(gateway) == (ListKind.DELTA, ["h4 ready"])
+        assert await next_list(gateway) == (ListKind.COMPLETE, ["h3 ready", "h4 ready"])
