Keep newer entries when a change after an older list cannot be read in full

A watch began with an older list in which the endpoint was still ready; the entry by which it drained could not be read in the next change, and the list of the watch, wrong in that entry, took the place of the newer one in use. Such a change is now applied alone, as partial, so that what it does not say stays as in the list in use, and the complete list is fetched. A polled list at the index of the watch ends the state.

--- a/load_balancer/gateway/discovery.py
+++ b/load_balancer/gateway/discovery.py
@@ -214,19 +214,23 @@
         self._consecutive_failures = 0
         self._polls = {poll for poll in self._polls if not poll.is_closed}
         if older_list is not None and event.kind is ListKind.DELTA:
-            older_list.apply(event)
-            event = older_list.complete_list(event.index)
+            event = older_list.next_event(event, self._position.index)
         if self._position.rejects_as_older(event.kind, event.index, self._loop.time()):
             log_event("discovery.list_older", index=event.index, applied_index=self._position.index)
             if is_watched:
                 self._older_list = OlderList(event)
             self._note_skipped()
         else:
-            if is_watched:
+            if event.kind is ListKind.COMPLETE and (is_watched or self._is_watch_at(event)):
                 self._older_list = None
             self._publish(event)
         return True
 
+    def _is_watch_at(self, polled: WatchEvent) -> bool:
+        """Return whether a complete list of a poll is whole and as new as that of the watch."""
+        older_list = self._older_list
+        return older_list is not None and older_list.index == polled.index and not polled.is_partial
+
     def _note_skipped(self) -> None:
         self._position.note_skipped()
         self._on_message_skipped()
--- a/load_balancer/gateway/older_list.py
+++ b/load_balancer/gateway/older_list.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from load_balancer.decisions.endpoint import EndpointStatus, ListKind
 from load_balancer.gateway.discovery_messages import DiscoveredEndpoint, WatchEvent
 
@@ -23,19 +25,26 @@
 
     Attributes:
         entries: The endpoints by name.
+        index: The index of the last change of the watch.
         is_partial: Whether something on the watch could not be read.
     """
 
     def __init__(self, complete_list: WatchEvent) -> None:
         self.entries: dict[str, DiscoveredEndpoint] = {}
-        self.is_partial = False
-        self.apply(complete_list)
+        self.index = complete_list.index
+        self.is_partial = complete_list.is_partial
+        apply_entries(self.entries, complete_list.endpoints)
+
+    def next_event(self, change: WatchEvent, index_in_use: int) -> WatchEvent:
+        """Apply a change of the watch, and return what to do with it.
 
-    def apply(self, change: WatchEvent) -> None:
-        """Apply a change of the watch."""
+        Returns:
+            The whole list with the change. If a part of it could not be read, and the change is newer than
+            the list in use, the change alone: what the list says of other endpoints may be wrong.
+        """
         apply_entries(self.entries, change.endpoints)
+        self.index = change.index
         self.is_partial = self.is_partial or change.is_partial
-
-    def complete_list(self, index: int) -> WatchEvent:
-        """Return the list as a complete one at an index."""
-        return WatchEvent(ListKind.COMPLETE, tuple(self.entries.values()), index, self.is_partial)
+        if self.is_partial and change.index > index_in_use:
+            return replace(change, is_partial=True)
+        return WatchEvent(ListKind.COMPLETE, tuple(self.entries.values()), change.index, self.is_partial)
